--- a/silverwell/records.py
+++ b/hazellead/records.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from silverwell import interface as api
+from hazellead import interface as api
 
 
 @dataclass(slots=True)
--- a/silverwell/simhost.py
+++ b/hazellead/simhost.py
@@ -3,9 +3,9 @@
 import sys
 from typing import BinaryIO
 
-from silverwell import wire
-from silverwell.choice import Dispatcher
-from silverwell.interface import Event
+from hazellead import wire
+from hazellead.choice import Dispatcher
+from hazellead.interface import Event
 
 
 def read_exactly(stream: BinaryIO, count: int) -> bytes:
@@ -76,7 +76,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except ValueError as error:
-        print(f"silverwell: {error}", file=sys.stderr)
+        print(f"hazellead: {error}", file=sys.stderr)
         return 2
     except BrokenPipeError:
         return 1
--- a/silverwell/wire.py
+++ b/hazellead/wire.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TypeVar
 
-from silverwell.interface import (
+from hazellead.interface import (
     Abandoned,
     Action,
     Arrival,
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -9,9 +9,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from silverwell import choice
-from silverwell import interface as api
-from silverwell.choice import Dispatcher
+from hazellead import choice
+from hazellead import interface as api
+from hazellead.choice import Dispatcher
 
 ENDS = [o for o in api.Outcome if o is not api.Outcome.MOOT]
 STEPS = st.lists(
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from silverwell import interface as api
-from silverwell import simhost, wire
+from hazellead import interface as api
+from hazellead import simhost, wire
 
 FORM = wire.ReportForm(["latency_ms", "inflight", "x0"], "free_slots")
 SETUP = """siblings=2
@@ -158,6 +158,6 @@
     def broken(*_: object) -> list[api.Action]:
         raise KeyError("what was sought")
 
-    monkeypatch.setattr("silverwell.choice.Dispatcher.handle", broken)
+    monkeypatch.setattr("hazellead.choice.Dispatcher.handle", broken)
     out = serve(batch(1, start(2)))
     assert b"KeyError: 'what was sought'" in out and out[12:15] == wire.source(2) and out[15] == 9
