--- /dev/null
+++ b/hazellead/core/jobs.py
@@ -0,0 +1,122 @@
+"""What the core deals in, and the small interfaces to what stands around it."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+from typing import Protocol
+
+from hazellead import interface as api
+
+
+@dataclass(slots=True, frozen=True)
+class Job:
+    """What a client asks for. ``identity`` is unique among live jobs; target and body pass on unread."""
+
+    identity: str
+    target: str
+    body: bytes
+    job_class: int
+    tenant: int
+    remaining: timedelta
+    slots: float = 1.0
+    function: str = ""  # its name among Gearman speakers
+    unique: str = ""  # the key its Gearman client gave
+
+
+class ClientReply(Protocol):
+    """Where a job's final answer goes; exactly one of the first three is called, once."""
+
+    def served(self, result: bytes) -> None:
+        """Hand over a worker's result."""
+
+    def refused(self, retry_after: timedelta) -> None:
+        """Turn the job away; nothing of it ran."""
+
+    def failed(self, reason: str) -> None:
+        """Say that it failed; it may have run."""
+
+    def began(self) -> None:
+        """Report that a worker has started."""
+
+    def progressed(self, share: float) -> None:
+        """Report the part done, from 0 to 1."""
+
+
+class Attempt:
+    """One push. A transport reports on it here; the first end counts and all later reports are dropped."""
+
+    __slots__ = ("_host", "job", "number", "outcome", "request", "sent", "until", "worker")
+
+    def __init__(
+        self, host: "AttemptHost", request: int, number: int, worker: int, job: Job,
+        sent: datetime, until: datetime,
+    ) -> None:
+        """Start as out."""
+        self._host, self.request, self.number, self.worker, self.job = host, request, number, worker, job
+        self.sent, self.until = sent, until
+        self.outcome: api.Outcome | None = None
+
+    def may_send(self) -> bool:
+        """Say whether its first byte may go out now.
+
+        Guards against a drain told while a connection was being opened, and against a time-out meanwhile.
+        """
+        return self.outcome is None and self._host.open_to_work(self.worker)
+
+    def began(self) -> None:
+        """Report that the worker is at it."""
+        if self.outcome is None:
+            self._host.attempt_began(self)
+
+    def progressed(self, share: float) -> None:
+        """Report the part done."""
+        if self.outcome is None:
+            self._host.attempt_progressed(self, share)
+
+    def end(self, outcome: api.Outcome, result: bytes = b"") -> None:
+        """Report its end."""
+        if self.outcome is None:
+            self.outcome = outcome
+            self._host.attempt_ended(self, result)
+
+
+class AttemptHost(Protocol):
+    """What an attempt reports to."""
+
+    def open_to_work(self, worker: int) -> bool:
+        """Say whether a worker may be sent new work."""
+
+    def attempt_began(self, attempt: Attempt) -> None:
+        """Take in a start."""
+
+    def attempt_progressed(self, attempt: Attempt, share: float) -> None:
+        """Take in progress."""
+
+    def attempt_ended(self, attempt: Attempt, result: bytes) -> None:
+        """Take in the end."""
+
+
+class WorkerTransport(Protocol):
+    """Carries attempts to workers; calls ``end`` on each unless given it up first."""
+
+    def send(self, attempt: Attempt) -> None:
+        """Start an attempt."""
+
+    def give_up(self, attempt: Attempt) -> None:
+        """Stop an attempt that has just been ended from outside."""
+
+    def probe(self, worker: int, done: Callable[[api.Outcome], None]) -> None:
+        """Ask whether a worker lives."""
+
+    def release(self, worker: int) -> None:
+        """Close the idle connections to a worker."""
+
+
+class WorkerDirectory(Protocol):
+    """Tells which workers there are; word arrives at the listener it was given."""
+
+    def subscribe(self) -> None:
+        """Follow the list from now on; a failure is told and ends it."""
+
+    def fetch(self) -> None:
+        """Ask once for the whole list."""
--- /dev/null
+++ b/hazellead/core/scheduler.py
@@ -0,0 +1,238 @@
+"""Drives one ``Dispatcher``: owns its timers, the table of requests and their one final answer each."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+
+import structlog
+from tornado.ioloop import IOLoop
+
+from hazellead import interface as api
+from hazellead.choice import Dispatcher
+from hazellead.core.clock import Clock, span, to_us
+from hazellead.core.jobs import Attempt, ClientReply, Job, WorkerDirectory, WorkerTransport
+from hazellead.limits import Limits
+
+log = structlog.get_logger()
+
+
+@dataclass(slots=True, eq=False)
+class _Request:
+    number: int
+    job: Job
+    until: datetime  # when the scheduler stops waiting
+    reply: ClientReply | None  # None once answered, or when nobody waits any more
+    attempts: list[Attempt] = field(default_factory=list)
+    timer: object = None
+
+
+class Scheduler:
+    """Takes jobs in, carries out what the module decides and answers each job once."""
+
+    def __init__(
+        self, settings: api.Settings, seed: int, limits: Limits, clock: Clock, loop: IOLoop,
+    ) -> None:
+        """Set up; ``connect`` must follow before the first event."""
+        self.settings, self.limits, self._clock, self._loop = settings, limits, clock, loop
+        self._dispatcher = Dispatcher(settings, seed)
+        self._requests: dict[int, _Request] = {}
+        self._identities: set[str] = set()
+        self._phases: dict[int, api.Phase] = {}
+        self._events: list[api.Event] = []
+        self._tick = span(settings.tick_us)
+        self._last, self._due, self._count = clock.now() - self._tick, False, 0
+        self._emptied: Callable[[], None] | None = None
+        self._transport: WorkerTransport
+        self._directory: WorkerDirectory
+
+    def connect(self, transport: WorkerTransport, directory: WorkerDirectory) -> None:
+        """Name what carries attempts and what tells of workers."""
+        self._transport, self._directory = transport, directory
+
+    @property
+    def held(self) -> int:
+        """Return how many requests still wait for their answer."""
+        return sum(r.reply is not None for r in self._requests.values())
+
+    @property
+    def knows_workers(self) -> bool:
+        """Say whether any worker is open to work."""
+        return any(self.open_to_work(w) for w in self._phases)
+
+    # From clients.
+
+    def submit(self, job: Job, reply: ClientReply) -> int:
+        """Take a job in and return the number by which it can be abandoned."""
+        self._count += 1
+        if job.identity in self._identities:
+            # Guards against posting twice: the same id again may concern a job that runs at this moment.
+            reply.failed("this id is being worked on")
+        elif len(self._requests) >= self.limits.requests:
+            reply.refused(self.limits.busy_retry)
+        else:
+            remaining = max(job.remaining - self.limits.answer_margin, timedelta(0))
+            request = _Request(self._count, job, self._clock.now() + remaining, reply)
+            request.timer = self._loop.add_timeout(remaining, self._expire, request)
+            self._requests[request.number] = request
+            self._identities.add(job.identity)
+            self._put(api.Arrival(request.number, job.job_class, to_us(remaining), job.tenant, job.slots))
+        return self._count
+
+    def abandon(self, number: int) -> None:
+        """Note that the client has gone; an attempt that is out goes on, as the module hears its end."""
+        request = self._requests.get(number)
+        if request and request.reply:
+            request.reply = None
+            self._put(api.Abandoned(number))
+            self._forget(request)
+
+    # From the directory.
+
+    def listed(self, event: api.WorkerList) -> None:
+        """Take in the worker list. Its drains bind sends at once, before the module's next step."""
+        if event.kind in (api.ListKind.FULL, api.ListKind.CACHED):
+            self._phases = dict.fromkeys(self._phases, api.Phase.GONE)
+        self._phases |= {e.worker: e.phase for e in event.entries}
+        self._put(event)
+
+    def open_to_work(self, worker: int) -> bool:
+        """Say whether a worker may be sent new work, as far as this scheduler was told."""
+        phase = self._phases.get(worker, api.Phase.GONE)
+        lost = phase is api.Phase.GONE and not self.settings.drain_binds_alone
+        return phase is not api.Phase.DRAINING and not lost
+
+    # From attempts.
+
+    def attempt_began(self, attempt: Attempt) -> None:
+        """Pass a start on to the module and the client."""
+        self._put(api.JobBegan(attempt.request, attempt.number, attempt.worker))
+        if reply := self._requests[attempt.request].reply:
+            reply.began()
+
+    def attempt_progressed(self, attempt: Attempt, share: float) -> None:
+        """Pass progress on; to the module it is a sign of life."""
+        self._put(api.JobBegan(attempt.request, attempt.number, attempt.worker))
+        if reply := self._requests[attempt.request].reply:
+            reply.progressed(share)
+
+    def attempt_ended(self, attempt: Attempt, result: bytes) -> None:
+        """Tell the module, once for each push; a result goes to the client without waiting for it."""
+        request = self._requests[attempt.request]
+        assert attempt.outcome is not None
+        if attempt.outcome is api.Outcome.SERVED and request.reply:
+            reply, request.reply = request.reply, None
+            reply.served(result)
+        elif attempt.outcome not in (api.Outcome.SERVED, api.Outcome.FULL):
+            log.info("attempt_failed", job=attempt.job.identity, worker=attempt.worker,
+                     attempt=attempt.number, outcome=attempt.outcome.value,
+                     spent=(self._clock.now() - attempt.sent).total_seconds())
+        self._put(api.AttemptEnded(
+            attempt.request, attempt.number, attempt.worker, attempt.outcome,
+            max(0, to_us(self._clock.now() - attempt.sent)), request.reply is None))
+        self._forget(request)
+
+    # The module's steps.
+
+    def _put(self, event: api.Event) -> None:
+        """Queue an event; the module handles what has come in once a tick at most."""
+        self._events.append(event)
+        if not self._due:
+            self._due = True
+            self._loop.add_timeout(max(timedelta(0), self._last + self._tick - self._clock.now()), self._step)
+
+    def _step(self) -> None:
+        self._due, self._last = False, self._clock.now()
+        events, self._events = self._events, []
+        for action in self._dispatcher.handle(self._clock.now_us(), events):
+            self._carry_out(action)
+
+    def _carry_out(self, action: api.Action) -> None:
+        match action:
+            case api.Push():
+                self._push(action)
+            case api.Refuse():
+                if request := self._closing(action.request):
+                    request.refused(span(action.retry_after_us))
+            case api.Fail():
+                if request := self._closing(action.request):
+                    request.failed("given up")
+            case api.Cancel():
+                request_ = self._requests.get(action.request)
+                if request_ and action.attempt < len(request_.attempts):
+                    self._stop(request_.attempts[action.attempt], api.Outcome.CANCELLED)
+            case api.SetTimer():
+                self._loop.add_timeout(span(action.after_us), self._put, api.TimerFired(action.token))
+            case api.Probe():
+                worker = action.worker
+                self._transport.probe(worker, lambda outcome: self._put(api.ProbeEnded(worker, outcome)))
+            case api.Release():
+                self._transport.release(action.worker)
+            case api.Subscribe():
+                self._directory.subscribe()
+            case api.FetchList():
+                self._directory.fetch()
+            case api.Log():
+                log.info("decision", text=action.text)
+
+    def _push(self, action: api.Push) -> None:
+        request = self._requests.get(action.request)
+        now = self._clock.now()
+        if request is None:  # the module owes this never to happen, and the table no longer has the job
+            self._put(api.AttemptEnded(action.request, 0, action.worker, api.Outcome.MOOT, 0, True))
+            return
+        until = request.until
+        if action.timeout_us:
+            until = min(until, now + span(action.timeout_us))
+        number = len(request.attempts)
+        attempt = Attempt(self, request.number, number, action.worker, request.job, now, until)
+        out = any(a.outcome is None for a in request.attempts)
+        request.attempts.append(attempt)
+        if request.reply is None or number >= self.settings.max_attempts or now >= until or (
+                out and not self.settings.may_duplicate) or not attempt.may_send():
+            attempt.end(api.Outcome.MOOT)
+            return
+        if until < request.until:
+            self._loop.add_timeout(until - now, self._stop, attempt, api.Outcome.TIMED_OUT)
+        self._transport.send(attempt)
+
+    def _stop(self, attempt: Attempt, outcome: api.Outcome) -> None:
+        if attempt.outcome is None:
+            attempt.end(outcome)
+            self._transport.give_up(attempt)
+
+    def _expire(self, request: _Request) -> None:
+        """End what is still out at the deadline; the module answers in the same step."""
+        for attempt in request.attempts:
+            self._stop(attempt, api.Outcome.TIMED_OUT)
+        if request.reply:
+            self._step()
+        if request.reply:  # guards against a request that no decision ends
+            log.warning("deadline_unanswered", job=request.job.identity)
+            reply, request.reply = request.reply, None
+            reply.failed("out of time")
+            self._put(api.Abandoned(request.number))
+        self._forget(request)
+
+    def _closing(self, number: int) -> ClientReply | None:
+        """Take a request's reply for its final answer; None if it has had one."""
+        request = self._requests.get(number)
+        if request is None or request.reply is None:
+            return None
+        reply, request.reply = request.reply, None
+        self._forget(request)
+        return reply
+
+    def _forget(self, request: _Request) -> None:
+        """Drop a request once it is answered and no attempt is out."""
+        if request.reply is None and all(a.outcome for a in request.attempts):
+            if self._requests.pop(request.number, None):
+                self._identities.discard(request.job.identity)
+                self._loop.remove_timeout(request.timer)
+            if self._emptied and not self._requests:
+                self._emptied()
+
+    def when_empty(self, done: Callable[[], None]) -> None:
+        """Call back once no request is held and no attempt is out."""
+        self._emptied = done
+        if not self._requests:
+            done()
--- /dev/null
+++ b/hazellead/net/server.py
@@ -0,0 +1,182 @@
+"""Serves HTTP/1.1 on IOStreams: one request at a time on each connection, one answer to each request."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+from contextlib import suppress
+from typing import Any
+
+import structlog
+from tornado.ioloop import PeriodicCallback
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpserver import TCPServer
+
+from hazellead.core.clock import Clock
+from hazellead.limits import Limits
+from hazellead.net.http import HttpError, Message, Parser, response
+from hazellead.net.streams import READ, close_gently
+
+log = structlog.get_logger()
+
+
+class Exchange:
+    """One request and the way to answer it. ``on_gone`` is called if the client leaves before the answer."""
+
+    __slots__ = ("answer", "message", "on_gone")
+
+    def __init__(self, message: Message) -> None:
+        """Start unanswered."""
+        self.message = message
+        self.answer: asyncio.Future[tuple[int, bytes, dict[str, str]]] = asyncio.Future()
+        self.on_gone: Callable[[], None] | None = None
+
+    def respond(self, status: int, body: bytes = b"", headers: dict[str, str] | None = None) -> None:
+        """Answer; of no effect once it is answered or the client has gone."""
+        if not self.answer.done():
+            self.answer.set_result((status, body, headers or {}))
+
+
+class Connection:
+    """One client's connection: it waits, a request comes in, is in hand, is answered; then it waits again."""
+
+    def __init__(self, server: "HttpServer", stream: IOStream) -> None:
+        """Start waiting."""
+        self._server, self._stream, self._parser = server, stream, Parser(server.limits)
+        self._reading: asyncio.Future[bytes] | None = None
+        self.since = server.clock.now()  # of the present state
+        self.exchange: Exchange | None = None  # the request in hand
+        self.closing = self._ended = False
+
+    @property
+    def idle(self) -> bool:
+        """Say whether no part of a request has come and no answer is under way."""
+        return self.exchange is None and self._parser.empty and not self._stream.writing()
+
+    async def run(self) -> None:
+        """Serve until either side ends the connection."""
+        try:
+            while message := await self._message():
+                await self._serve(message)
+                if self.closing or not message.keep:
+                    break
+        except HttpError as error:
+            await self._write(error.status, f"{error}\n".encode(), {}, keep=False)
+        except StreamClosedError:
+            if self.exchange:
+                self.exchange.answer.cancel()
+                if self.exchange.on_gone:
+                    self.exchange.on_gone()
+        finally:
+            if not self._stream.closed():
+                await close_gently(self._stream, self._server.limits.linger, self._reading)
+
+    async def _message(self) -> Message | None:
+        """Read the next request; None when the connection is to end between requests."""
+        continued = False
+        while (message := self._parser.next()) is None:
+            if self.closing and self._parser.empty:
+                return None
+            if self._parser.expects_continue and not continued:
+                continued = True
+                await self._stream.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            was_idle = self.idle
+            await self._read()
+            if self._ended:
+                # Guards against posting twice: a client whose request crosses the close sends it once more.
+                return None
+            if was_idle:
+                self.since = self._server.clock.now()
+        return message
+
+    async def _read(self) -> None:
+        self._reading = self._reading or self._begin_read()
+        data = await self._reading
+        self._reading = None
+        self._parser.feed(data)
+
+    def _begin_read(self) -> asyncio.Future[bytes]:
+        return asyncio.ensure_future(self._stream.read_bytes(READ, partial=True))
+
+    async def _serve(self, message: Message) -> None:
+        self.exchange = exchange = Exchange(message)
+        self._server.handler(exchange)
+        # Reading goes on so that a client's leaving is noticed, but not past what one connection may hold.
+        while not exchange.answer.done() and not self._parser.full:
+            self._reading = self._reading or self._begin_read()
+            both: set[asyncio.Future[Any]] = {self._reading, exchange.answer}
+            await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
+            if self._reading.done():
+                await self._read()
+        status, body, headers = await exchange.answer
+        self.exchange = None
+        await self._write(status, body, headers, keep=message.keep and not self.closing)
+
+    async def _write(self, status: int, body: bytes, headers: dict[str, str], *, keep: bool) -> None:
+        self.since = self._server.clock.now()
+        try:
+            await self._stream.write(response(status, body, keep=keep, headers=headers))
+        except StreamClosedError:
+            self.closing = True
+        self.since = self._server.clock.now()
+
+    def close_when_idle(self) -> None:
+        """End the connection, after the answer if a request is in hand or on its way."""
+        self.closing = True
+        if self.idle and not self._stream.closed():
+            self._ended = True
+            with suppress(OSError):
+                self._stream.socket.shutdown(socket.SHUT_WR)
+
+    def abort(self) -> None:
+        """End the connection at once."""
+        self._stream.close()
+
+
+class HttpServer(TCPServer):
+    """Accepts connections and bounds their number and their slowness."""
+
+    def __init__(self, limits: Limits, clock: Clock, handler: Callable[[Exchange], None]) -> None:
+        """Hand every request to ``handler``."""
+        super().__init__(max_buffer_size=4 * READ)
+        self.limits, self.clock, self.handler = limits, clock, handler
+        self.connections: set[Connection] = set()
+        self._sweeper = PeriodicCallback(self._sweep, 1000)
+        self._sweeper.start()
+
+    async def handle_stream(self, stream: IOStream, address: object) -> None:
+        """Serve one connection."""
+        if len(self.connections) >= self.limits.client_connections:
+            # Room for the new one is made by ending the one that has been idle longest.
+            idle = [c for c in self.connections if c.idle and not c.closing]
+            if not idle:
+                log.warning("connection_refused", open=len(self.connections))
+                stream.close()
+                return
+            min(idle, key=lambda c: c.since).abort()
+        stream.set_nodelay(True)
+        connection = Connection(self, stream)
+        self.connections.add(connection)
+        try:
+            await connection.run()
+        finally:
+            self.connections.discard(connection)
+
+    def _sweep(self) -> None:
+        """End connections that idle too long, or are too slow to send a request or take an answer."""
+        now = self.clock.now()
+        for c in list(self.connections):
+            if c.exchange is None:
+                if now - c.since > (self.limits.client_idle if c.idle else self.limits.client_read):
+                    c.abort()
+
+    async def finish(self) -> None:
+        """Accept no more, let answers under way go out and end every connection."""
+        self.stop()
+        self._sweeper.stop()
+        for c in list(self.connections):
+            c.close_when_idle()
+        by = self.clock.now() + self.limits.linger
+        while self.connections and self.clock.now() < by:
+            await asyncio.sleep(0.01)
+        for c in list(self.connections):
+            c.abort()
--- /dev/null
+++ b/hazellead/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The thin front for the platform's own protocol: clients, workers and discovery."""
--- /dev/null
+++ b/hazellead/platform/clients.py
@@ -0,0 +1,150 @@
+"""Clients' requests and workers' call-backs, on the scheduler's one listener."""
+
+import json
+import re
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+import structlog
+
+from hazellead.core.clock import span
+from hazellead.core.jobs import Job
+from hazellead.core.scheduler import Scheduler
+from hazellead.net.server import Exchange
+from hazellead.platform.config import Names, parse_span, place
+
+log = structlog.get_logger()
+
+EVENTS = "/v1/job-events"
+READY = "/up"
+_ID = re.compile(r"[0-9A-Za-z._~-]{1,128}\Z")  # it becomes a part of a path
+_MOST_SLOTS = 1024.0
+
+
+class _Reply:
+    """Answers one HTTP client; starts and progress have no place in its protocol."""
+
+    __slots__ = ("_exchange",)
+
+    def __init__(self, exchange: Exchange) -> None:
+        self._exchange = exchange
+
+    def served(self, result: bytes) -> None:
+        """Answer 200."""
+        self._exchange.respond(200, result)
+
+    def refused(self, retry_after: timedelta) -> None:
+        """Answer 429 with when to come back."""
+        self._exchange.respond(429, b"", {"Retry-After": f"{max(retry_after.total_seconds(), 0.001):.3f}"})
+
+    def failed(self, reason: str) -> None:
+        """Answer 502."""
+        self._exchange.respond(502, f"{reason}\n".encode())
+
+    def began(self) -> None:
+        """Do nothing."""
+
+    def progressed(self, share: float) -> None:
+        """Do nothing."""
+
+
+class BadRequestError(Exception):
+    """A request that is not to be taken; the status says how it is answered."""
+
+    def __init__(self, status: int, why: str) -> None:
+        """Keep the answer and the reason."""
+        super().__init__(why)
+        self.status = status
+
+
+class Front:
+    """Turns requests into jobs for the scheduler and hands call-backs to the worker transport."""
+
+    def __init__(
+        self, scheduler: Scheduler, names: Names, report: Callable[[str, str, str, Any], None],
+    ) -> None:
+        """``report(id, sender, state, rest)`` takes in one call-back."""
+        self._scheduler, self._names, self._report = scheduler, names, report
+        self.ready = self.refusing = False
+
+    def handle(self, exchange: Exchange) -> None:
+        """Take one request in."""
+        method, target, _ = exchange.message.first
+        path = target.partition("?")[0]
+        try:
+            if path == READY:
+                self._need(method, "GET")
+                exchange.respond(200 if self.ready else 503)
+            elif path == EVENTS:
+                self._need(method, "POST")
+                self._call_back(exchange.message.body)
+                exchange.respond(200)
+            else:
+                self._submit(exchange, method, target)
+        except BadRequestError as bad:
+            allow = {"Allow": str(bad).split()[-1]} if bad.status == 405 else None
+            exchange.respond(bad.status, f"{bad}\n".encode(), allow)
+
+    def _need(self, method: str, wanted: str) -> None:
+        if method != wanted:
+            raise BadRequestError(405, f"use {wanted}")
+
+    def _submit(self, exchange: Exchange, method: str, target: str) -> None:
+        parts = target.partition("?")[0].split("/")
+        job_class = place(self._names.classes, parts[1]) if parts[0] == "" and len(parts) > 1 else -1
+        if job_class < 0:
+            raise BadRequestError(404, "no such class")
+        self._need(method, "POST")
+        job = self._job(exchange, target, job_class)
+        if self.refusing:
+            _Reply(exchange).refused(self._scheduler.limits.busy_retry)
+            return
+        number = self._scheduler.submit(job, _Reply(exchange))
+        exchange.on_gone = lambda: self._scheduler.abandon(number)
+
+    def _job(self, exchange: Exchange, target: str, job_class: int) -> Job:
+        headers = exchange.message.headers
+        identity = headers.get("x-trace-id", "")
+        if not _ID.match(identity):
+            raise BadRequestError(400, "X-Trace-Id is missing or malformed")
+        tenant = place(self._names.tenants, headers.get("x-customer", "")) if self._names.tenants else 0
+        if tenant < 0:
+            raise BadRequestError(400, "X-Customer is missing or unknown")
+        given = headers.get("x-expires-in")
+        deadline = span(self._scheduler.settings.classes[job_class].deadline_us)
+        remaining = deadline if given is None else parse_span(given)
+        if remaining is None:
+            raise BadRequestError(400, "X-Expires-In is malformed")
+        # Guards the timers: nobody waits longer than the class's deadline.
+        return Job(identity, target, exchange.message.body, job_class, tenant, min(remaining, deadline),
+                   slots=self._slots(headers.get("x-props", "")))
+
+    def _slots(self, text: str) -> float:
+        props = dict(p.strip().partition("=")[::2] for p in text.split(",") if p.strip())
+        try:
+            slots = float(props.get("slots", "1"))
+        except ValueError:
+            raise BadRequestError(400, "X-Props is malformed") from None
+        if not 0 <= slots <= _MOST_SLOTS:
+            raise BadRequestError(400, "X-Props is malformed")
+        return slots or 1.0
+
+    def _call_back(self, body: bytes) -> None:
+        try:
+            event = json.loads(body)
+        except (ValueError, RecursionError):
+            raise BadRequestError(400, "not JSON") from None
+        if not isinstance(event, dict):
+            raise BadRequestError(400, "not an object")
+        identity, sender, state = event.get("id"), event.get("from"), event.get("state")
+        if not (isinstance(identity, str) and isinstance(sender, str) and isinstance(state, str)):
+            raise BadRequestError(400, "id, from and state are strings")
+        share, result = event.get("share", 0), event.get("result")
+        if state == "running" and (isinstance(share, bool) or not isinstance(share, int | float)):
+            raise BadRequestError(400, "share is a number")
+        if state == "done" and not isinstance(result, str):
+            raise BadRequestError(400, "result is a string")
+        self._report(identity, sender, state, share if state == "running" else result)
+
+
--- /dev/null
+++ b/hazellead/platform/config.py
@@ -0,0 +1,146 @@
+"""Reads the platform's configuration. Its settings go through the simulator's reader."""
+
+import json
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+from hazellead import wire
+from hazellead.core.clock import span
+from hazellead.interface import Settings
+from hazellead.limits import Limits
+
+
+class ConfigError(Exception):
+    """The configuration cannot be used; the text says why in one line."""
+
+
+def word(value: Any) -> str:
+    """Write a plain value as the simulator's settings have it."""
+    if isinstance(value, bool):
+        return str(value).lower()
+    return str(value).replace(" ", "_").replace(",", "_")
+
+
+def flatten(value: Any, path: str = "") -> list[str]:
+    """Turn nested settings into the lines of path=value that ``wire.settings`` reads."""
+    if isinstance(value, dict):
+        return [line for k, v in value.items() for line in flatten(v, f"{path}.{k}" if path else k)]
+    if isinstance(value, list):
+        if any(isinstance(v, dict | list) for v in value):
+            lines = [f"{path}.count={len(value)}"]
+            return lines + [line for i, v in enumerate(value) for line in flatten(v, f"{path}.{i}")]
+        return [f"{path}={','.join(word(v) for v in value)}"]
+    return [f"{path}={'' if value is None else word(value)}"]
+
+
+@dataclass(slots=True, frozen=True)
+class Names:
+    """What the settings call classes, tenants, zones and kinds; numbers are places in these lists."""
+
+    classes: tuple[str, ...]
+    tenants: tuple[str, ...]
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
+
+    @staticmethod
+    def read(table: Mapping[str, str]) -> "Names":
+        """Take the names from the settings' table."""
+        def named(path: str) -> tuple[str, ...]:
+            count = int(float(table.get(f"{path}.count", "0")))
+            return tuple(table.get(f"{path}.{i}.name", str(i)) for i in range(count))
+
+        def listed(path: str) -> tuple[str, ...]:
+            return tuple(name for name in table.get(path, "").split(",") if name)
+
+        return Names(named("requestClasses"), named("tenants"), listed("azs"), listed("kinds"))
+
+
+def place(names: tuple[str, ...], name: str) -> int:
+    """Return a name's number, or -1."""
+    return names.index(word(name)) if word(name) in names else -1
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    """All that a scheduler is told at its start."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int] | None
+    seed: int
+    known: dict[str, Any]
+    settings: Settings
+    names: Names
+    limits: Limits
+
+
+def address(text: Any, what: str) -> tuple[str, int]:
+    """Split host:port."""
+    host, colon, port = str(text).rpartition(":")
+    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ConfigError(f"{what} is no address: {text!r}")
+    return host.strip("[]"), int(port)
+
+
+def read_settings(nested: Any) -> tuple[Settings, Names, dict[str, str]]:
+    """Read nested settings."""
+    if not isinstance(nested, dict):
+        raise ConfigError("settings are missing")
+    text = "\n".join(flatten(nested))
+    try:
+        return wire.settings(text), Names.read(table := wire.pairs(text)), table
+    except ValueError as error:
+        raise ConfigError(f"settings: {error}") from None
+
+
+def fit_limits(settings: Settings, table: Mapping[str, str], sockets: int) -> Limits:
+    """Fill the limits in from what the deployment allows."""
+    try:
+        held = int(float(table.get("caps.mostHeld", "0"))) or sockets
+    except ValueError:
+        raise ConfigError("settings: bad setting: caps.mostHeld") from None
+    return Limits.fit(sockets, held, span(settings.connect_timeout_us), span(settings.conn_idle_us))
+
+
+def load(environment: Mapping[str, str] = os.environ) -> Config:
+    """Read the file that GW_CONFIG names; the other variables of the platform stand in for what it lacks."""
+    path = environment.get("GW_CONFIG")
+    if not path:
+        raise ConfigError("GW_CONFIG is not set")
+    try:
+        given = json.loads(Path(path).read_bytes())
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from None
+    except ValueError as error:
+        raise ConfigError(f"{path}: not JSON: {error}") from None
+    if not isinstance(given, dict):
+        raise ConfigError(f"{path}: not an object")
+    settings, names, table = read_settings(given.get("settings"))
+    limits = given.get("limits") or {}
+    known = given.get("known") or {}
+    if not isinstance(limits, dict) or not isinstance(known, dict):
+        raise ConfigError(f"{path}: limits and known are objects")
+    try:
+        sockets, seed = int(limits.get("sockets", 1024)), int(str(given.get("seed", "0")), 16)
+    except (TypeError, ValueError):
+        raise ConfigError(f"{path}: limits.sockets is a number and seed a hexadecimal one") from None
+    discovery = given.get("discovery") or environment.get("GW_DISCOVERY")
+    return Config(
+        name=str(given.get("name") or environment.get("GW_NAME", "")),
+        listen=address(given.get("listen") or environment.get("GW_LISTEN"), "listen"),
+        discovery=address(discovery, "discovery") if discovery else None,
+        seed=seed, known=known, settings=settings, names=names,
+        limits=fit_limits(settings, table, sockets),
+    )
+
+
+def parse_span(text: str) -> timedelta | None:
+    """Read a number with its unit, m for milliseconds or u for microseconds."""
+    number, unit = text[:-1], text[-1:]
+    if not number.isascii() or not number.isdigit() or len(number) > 12 or unit not in ("m", "u"):
+        return None
+    return timedelta(milliseconds=int(number)) if unit == "m" else timedelta(microseconds=int(number))
--- /dev/null
+++ b/hazellead/platform/workers.py
@@ -0,0 +1,244 @@
+"""Carries attempts to posting workers over HTTP/1.1 and takes in the call-backs that tell their fate."""
+
+import asyncio
+from collections import OrderedDict, defaultdict
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from datetime import datetime
+from typing import Any, Protocol
+
+import structlog
+from tornado.iostream import IOStream, StreamClosedError
+
+from hazellead.core.clock import Clock, to_us
+from hazellead.core.jobs import Attempt
+from hazellead.interface import Outcome
+from hazellead.limits import Limits
+from hazellead.net import http, streams
+from hazellead.net.client import read_response
+
+log = structlog.get_logger()
+
+_STATES = {"failed": Outcome.ERROR, "returned": Outcome.FULL, "lost": Outcome.RESET}
+_RETURNED_KEPT = 4096  # jobs handed back by call-back that are remembered
+
+
+@dataclass(slots=True, frozen=True)
+class Place:
+    """Where a worker listens, and the name by which it signs its call-backs."""
+
+    uid: str
+    host: str
+    port: int
+
+
+class Places(Protocol):
+    """Knows where workers are."""
+
+    def place(self, worker: int) -> Place | None:
+        """Return where a worker listens."""
+
+
+class Pool:
+    """Open connections to workers: one request at a time on each, closed well before the worker would."""
+
+    def __init__(self, limits: Limits, clock: Clock) -> None:
+        """Start with none."""
+        self._limits, self._clock = limits, clock
+        self._idle: dict[Place, list[tuple[IOStream, datetime]]] = defaultdict(list)
+        self._open = 0
+
+    async def take(self, place: Place) -> IOStream:
+        """Return a connection that is open and quiet, the last used first, or open one."""
+        kept = self._idle[place]
+        while kept:
+            stream, since = kept.pop()
+            if self._clock.now() - since < self._limits.worker_idle and streams.alive(stream):
+                return stream
+            stream.close()
+        if self._open >= self._limits.worker_connections and not self._make_room():
+            raise StreamClosedError(OSError("too many connections to workers"))
+        self._open += 1
+        try:
+            stream = await streams.connect(place.host, place.port, self._limits.connect)
+        except BaseException:
+            self._open -= 1
+            raise
+        stream.set_close_callback(self._closed)
+        return stream
+
+    def give(self, place: Place, stream: IOStream) -> None:
+        """Keep a connection for the next request, unless enough are kept."""
+        if stream.closed():
+            return
+        if len(self._idle[place]) >= self._limits.idle_per_worker:
+            stream.close()
+        else:
+            self._idle[place].append((stream, self._clock.now()))
+
+    def release(self, place: Place) -> None:
+        """Close the idle connections to one worker."""
+        for stream, _ in self._idle.pop(place, []):
+            stream.close()
+
+    def sweep(self) -> None:
+        """Close what has idled long enough or was closed by the other side."""
+        now = self._clock.now()
+        for place, kept in list(self._idle.items()):
+            left = []
+            for stream, since in kept:
+                if now - since < self._limits.worker_idle and streams.alive(stream):
+                    left.append((stream, since))
+                else:
+                    stream.close()
+            self._idle[place] = left
+            if not left:
+                del self._idle[place]
+
+    def _make_room(self) -> bool:
+        kept = [(entries[0][1], place) for place, entries in self._idle.items() if entries]
+        if not kept:
+            return False
+        _, place = min(kept, key=lambda k: k[0])
+        self._idle[place].pop(0)[0].close()
+        return True
+
+    def _closed(self) -> None:
+        self._open -= 1
+
+
+class HttpWorkers:
+    """The worker transport of the platform's protocol."""
+
+    def __init__(self, places: Places, limits: Limits, clock: Clock, listen: tuple[str, int]) -> None:
+        """Reach workers at the places a directory tells; ``listen`` is where their call-backs arrive."""
+        self._places, self._limits, self._clock = places, limits, clock
+        self.pool = Pool(limits, clock)
+        self._out: dict[tuple[str, str], Attempt] = {}  # by job's id and worker's name
+        self._tasks: dict[Attempt, asyncio.Task[None]] = {}  # those whose 202 is still awaited
+        self._others: set[asyncio.Task[None]] = set()
+        self._returned: OrderedDict[tuple[str, str], None] = OrderedDict()
+
+    def send(self, attempt: Attempt) -> None:
+        """Start an attempt."""
+        place = self._places.place(attempt.worker)
+        if place is None:
+            attempt.end(Outcome.CONNECT_FAILED)
+            return
+        key = (attempt.job.identity, place.uid)
+        if key in self._returned:
+            # Guards against a repeat of the call-back 'returned' for the earlier attempt: it would pass for
+            # the end of this one, which may be running.
+            attempt.end(Outcome.MOOT)
+            return
+        self._out[key] = attempt
+        task = asyncio.ensure_future(self._carry(attempt, place))
+        self._tasks[attempt] = task
+        task.add_done_callback(lambda _: self._tasks.pop(attempt, None))
+
+    def give_up(self, attempt: Attempt) -> None:
+        """Close the connection before the 202; after it, tell the worker."""
+        self._out = {k: a for k, a in self._out.items() if a is not attempt}
+        if task := self._tasks.get(attempt):
+            task.cancel()
+        elif place := self._places.place(attempt.worker):
+            self._aside(self._delete(place, attempt.job.identity))
+
+    def probe(self, worker: int, done: Callable[[Outcome], None]) -> None:
+        """Ask a worker whether it lives."""
+        self._aside(self._probe(worker, done))
+
+    def release(self, worker: int) -> None:
+        """Close idle connections."""
+        if place := self._places.place(worker):
+            self.pool.release(place)
+
+    def call_back(self, identity: str, sender: str, state: str, rest: Any) -> None:
+        """Take in one call-back: it may come before the 202, again, or after its attempt's end."""
+        attempt = self._out.get((identity, sender))
+        if attempt is None or attempt.outcome:
+            return
+        if state == "started":
+            attempt.began()
+        elif state == "running":
+            attempt.progressed(float(rest))
+        elif state == "done":
+            self._end(attempt, Outcome.SERVED, rest.encode(errors="surrogatepass"))
+        elif state in _STATES:
+            if state == "returned":
+                self._returned[identity, sender] = None
+                if len(self._returned) > _RETURNED_KEPT:
+                    self._returned.popitem(last=False)
+            self._end(attempt, _STATES[state])
+
+    def _end(self, attempt: Attempt, outcome: Outcome, result: bytes = b"") -> None:
+        if place := self._places.place(attempt.worker):
+            self._out.pop((attempt.job.identity, place.uid), None)
+        attempt.end(outcome, result)
+
+    async def _carry(self, attempt: Attempt, place: Place) -> None:
+        """Take one attempt to its 202. What breaks before the last byte is written never ran."""
+        written, stream = False, None
+        try:
+            stream = await self.pool.take(place)
+            if not attempt.may_send():
+                self._end(attempt, Outcome.MOOT)
+                self.pool.give(place, stream)
+                return
+            left = max(1, to_us(attempt.until - self._clock.now()))
+            writing = stream.write(http.request(
+                "POST", attempt.job.target, f"{place.host}:{place.port}",
+                {"X-Trace-Id": attempt.job.identity, "X-Expires-In": f"{left}u"}, attempt.job.body))
+            await writing
+            written = True
+            message = await read_response(stream, self._limits)
+        except asyncio.CancelledError:
+            if stream:
+                stream.close()
+            raise
+        except (StreamClosedError, TimeoutError, http.HttpError, ValueError):
+            if stream:
+                stream.close()
+            self._end(attempt, Outcome.RESET if written else Outcome.CONNECT_FAILED)
+            return
+        if message.keep:
+            self.pool.give(place, stream)
+        else:
+            stream.close()
+        if message.status == 202:
+            return
+        never = message.status in (503, 504) and message.headers.get("x-never-ran") == "1"
+        if not never and message.status != 500:
+            log.warning("worker_answer_unexpected", worker=place.uid, status=message.status)
+        self._end(attempt, Outcome.FULL if never else Outcome.ERROR)
+
+    async def _delete(self, place: Place, identity: str) -> None:
+        await self._ask(place, "DELETE", f"/jobs/{identity}", self._limits.give_up)
+
+    async def _probe(self, worker: int, done: Callable[[Outcome], None]) -> None:
+        place = self._places.place(worker)
+        status = await self._ask(place, "GET", "/alive", self._limits.probe) if place else None
+        done({200: Outcome.SERVED, 503: Outcome.FULL, None: Outcome.TIMED_OUT}.get(status, Outcome.ERROR))
+
+    async def _ask(self, place: Place, method: str, target: str, span: Any) -> int | None:
+        """Make a small request; None if no answer came in time."""
+        stream = None
+        try:
+            async with asyncio.timeout(span.total_seconds()):
+                stream = await self.pool.take(place)
+                await stream.write(http.request(method, target, f"{place.host}:{place.port}"))
+                message = await read_response(stream, self._limits)
+        except (StreamClosedError, TimeoutError, http.HttpError):
+            if stream:
+                stream.close()
+            return None
+        if message.keep:
+            self.pool.give(place, stream)
+        else:
+            stream.close()
+        return message.status
+
+    def _aside(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._others.add(task)
+        task.add_done_callback(self._others.discard)
