Add the Gearman front: codec, clients, workers, inventory, operator's file

Clients submit, join and look up jobs; workers connect to us and are matched by SET_CLIENT_ID with a CSV or YAML inventory; those on HTTP go through the platform's worker transport. Off unless an operator's file is given on the command line.

Seen while testing: a function with a deadline under its class's was refused once a longer one had been seen, since the module takes less time left for a client's later try (choice.py, _arrive). Such a function is now a class of its own to the module.

Checked on loopback with stand-in clients and workers that count postings: drop mid-job, drop before the assignment, duplicate unique keys live and ended, drain of a worker already chosen, expired deadline, refusals, and a surge of 200 submissions from which no workload was posted twice.

--- a/hazellead/__main__.py
+++ b/hazellead/__main__.py
@@ -1,16 +1,25 @@
-"""Reads the configuration, puts the parts together, serves until told to stop."""
+"""Reads the configuration, puts the parts together, serves until told to stop.
+
+With no argument it serves the platform. With the path of an operator's file it serves Gearman speakers too.
+"""
 
 import asyncio
 import logging
+import os
 import signal
 import sys
+from datetime import timedelta
+from pathlib import Path
 
 import structlog
 from tornado.ioloop import IOLoop, PeriodicCallback
+from tornado.tcpserver import TCPServer
 
 from hazellead.core.clock import Clock
 from hazellead.core.scheduler import Scheduler
-from hazellead.limits import Limits
+from hazellead.gearman import config as gearman_config
+from hazellead.gearman.assembly import GearmanFront
+from hazellead.gearman.config import GearmanConfig
 from hazellead.net.server import HttpServer
 from hazellead.platform import config
 from hazellead.platform.clients import Front
@@ -35,54 +44,82 @@
     )
 
 
-async def stop(front: Front, scheduler: Scheduler, server: HttpServer, limits: Limits) -> None:
-    """Keep taking jobs until clients know, answer all that is held, close what is idle."""
-    log.info("stopping", held=scheduler.held)
-    front.ready = False
-    await asyncio.sleep(limits.stop_accepting.total_seconds())
-    front.refusing = True
-    # The listener stays open meanwhile: it is where workers' call-backs arrive.
-    empty = asyncio.Event()
-    scheduler.when_empty(empty.set)
-    await empty.wait()
-    await server.finish()
-    log.info("stopped")
-
-
-async def serve(given: config.Config) -> None:
-    """Serve the platform until SIGTERM."""
-    clock, loop = Clock(), IOLoop.current()
-    scheduler = Scheduler(given.settings, given.seed, given.limits, clock, loop)
-    if given.discovery is None:
-        raise config.ConfigError("discovery is missing")
-    watch = Watch(given.discovery, given.names, given.limits, given.known, scheduler.listed)
-    workers = HttpWorkers(watch, given.limits, clock, given.listen)
-    scheduler.connect(workers, watch)
-    front = Front(scheduler, given.names, workers.call_back)
-    server = HttpServer(given.limits, clock, front.handle)
+def listen(server: TCPServer, address: tuple[str, int]) -> None:
+    """Listen, or say in one line why not."""
     try:
-        server.listen(given.listen[1], given.listen[0], backlog=512)
+        server.listen(address[1], address[0], backlog=512)
     except OSError as error:
-        where = f"{given.listen[0]}:{given.listen[1]}"
-        raise config.ConfigError(f"cannot listen at {where}: {error.strerror}") from None
-    sweeper = PeriodicCallback(workers.pool.sweep, 500)
-    sweeper.start()
+        raise config.ConfigError(f"cannot listen at {address[0]}:{address[1]}: {error.strerror}") from None
+
+
+class Program:
+    """One scheduler and the fronts before it."""
+
+    def __init__(self, given: config.Config, operators: GearmanConfig | None) -> None:
+        """Put the parts together and listen."""
+        clock, self.limits = Clock(), given.limits
+        self.scheduler = Scheduler(given.settings, given.seed, given.limits, clock, IOLoop.current())
+        self.watch, self.gearman = None, None
+        if operators:
+            self.gearman = GearmanFront(operators, self.scheduler, clock)
+            workers = self.gearman.http
+        else:
+            if given.discovery is None:
+                raise config.ConfigError("discovery is missing")
+            self.watch = Watch(
+                given.discovery, given.names, given.limits, given.known, self.scheduler.listed)
+            workers = HttpWorkers(self.watch, given.limits, clock)
+            self.scheduler.connect(workers, self.watch)
+        self.front = Front(self.scheduler, given.names, workers.call_back)
+        self.server = HttpServer(given.limits, clock, self.front.handle)
+        listen(self.server, given.listen)
+        if operators and self.gearman:
+            listen(self.gearman.server, operators.listen)
+        self.sweeper = PeriodicCallback(workers.pool.sweep, timedelta(seconds=0.5))
+        self.sweeper.start()
+        self.front.ready = True
+        log.info("ready", name=given.name, listen=f"{given.listen[0]}:{given.listen[1]}")
+
+    async def stop(self) -> None:
+        """Keep taking jobs until clients know, answer all that is held, close what is idle."""
+        log.info("stopping", held=self.scheduler.held)
+        self.front.ready = False
+        await asyncio.sleep(self.limits.stop_accepting.total_seconds())
+        self.front.refusing = True
+        if self.gearman:
+            self.gearman.refuse()
+        # The listeners stay open meanwhile: call-backs and Gearman workers' reports arrive there.
+        empty = asyncio.Event()
+        self.scheduler.when_empty(empty.set)
+        await empty.wait()
+        await self.server.finish()
+        if self.gearman:
+            await self.gearman.finish()
+        if self.watch:
+            self.watch.close()
+        self.sweeper.stop()
+        log.info("stopped")
+
+
+async def serve(operators_file: str | None) -> None:
+    """Serve until SIGTERM or SIGINT."""
     terminated = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, terminated.set)
-    front.ready = True
-    log.info("ready", name=given.name, listen=f"{given.listen[0]}:{given.listen[1]}")
+    operators = gearman_config.load(Path(operators_file), os.environ) if operators_file else None
+    program = Program(operators.base if operators else config.load(os.environ), operators)
     await terminated.wait()
-    await stop(front, scheduler, server, given.limits)
-    sweeper.stop()
-    watch.close()
+    await program.stop()
 
 
 def main() -> int:
     """Run the scheduler; a configuration that cannot be used ends it with one plain line."""
     set_up_log()
+    if len(sys.argv) > 2:
+        print("hazellead: usage: python -m hazellead [OPERATOR_FILE]", file=sys.stderr)
+        return 2
     try:
-        asyncio.run(serve(config.load()))
+        asyncio.run(serve(sys.argv[1] if len(sys.argv) == 2 else None))
     except config.ConfigError as error:
         print(f"hazellead: {error}", file=sys.stderr)
         return 2
--- a/hazellead/core/jobs.py
+++ b/hazellead/core/jobs.py
@@ -41,6 +41,9 @@
     def progressed(self, share: float) -> None:
         """Report the part done, from 0 to 1."""
 
+    def partial(self, data: bytes, *, warning: bool, exception: bool) -> None:
+        """Pass on what a worker says before its end."""
+
 
 class Attempt:
     """One push. A transport reports on it here; the first end counts and all later reports are dropped."""
@@ -73,6 +76,11 @@
         if self.outcome is None:
             self._host.attempt_progressed(self, share)
 
+    def partial(self, data: bytes, *, warning: bool, exception: bool) -> None:
+        """Report what the worker says before its end."""
+        if self.outcome is None:
+            self._host.attempt_said(self, data, warning=warning, exception=exception)
+
     def end(self, outcome: api.Outcome, result: bytes = b"") -> None:
         """Report its end."""
         if self.outcome is None:
@@ -92,6 +100,9 @@
     def attempt_progressed(self, attempt: Attempt, share: float) -> None:
         """Take in progress."""
 
+    def attempt_said(self, attempt: Attempt, data: bytes, *, warning: bool, exception: bool) -> None:
+        """Take in what the worker says."""
+
     def attempt_ended(self, attempt: Attempt, result: bytes) -> None:
         """Take in the end."""
 
--- a/hazellead/core/scheduler.py
+++ b/hazellead/core/scheduler.py
@@ -115,6 +115,11 @@
         if reply := self._requests[attempt.request].reply:
             reply.progressed(share)
 
+    def attempt_said(self, attempt: Attempt, data: bytes, *, warning: bool, exception: bool) -> None:
+        """Pass on what a worker says; the module has no use for it."""
+        if reply := self._requests[attempt.request].reply:
+            reply.partial(data, warning=warning, exception=exception)
+
     def attempt_ended(self, attempt: Attempt, result: bytes) -> None:
         """Tell the module, once for each push; a result goes to the client without waiting for it."""
         request = self._requests[attempt.request]
--- /dev/null
+++ b/hazellead/gearman/server.py
@@ -0,0 +1,139 @@
+"""Accepts Gearman connections; each may speak as client, as worker and as admin."""
+
+import asyncio
+import socket
+from contextlib import suppress
+
+import structlog
+from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
+from tornado.tcpserver import TCPServer
+
+from hazellead.gearman import clients, workers
+from hazellead.gearman.clients import ClientSession, Submissions
+from hazellead.gearman.packets import Packet, PacketError, Parser, Type, write
+from hazellead.gearman.workers import GearmanWorkers, WorkerSession
+from hazellead.limits import Limits
+from hazellead.net.streams import READ, close_gently, within
+
+log = structlog.get_logger()
+
+VERSION = "1.1.0"
+
+
+class GearmanConnection:
+    """One connection."""
+
+    def __init__(self, server: "GearmanServer", stream: IOStream, peer: str) -> None:
+        """Start with no role: its packets tell."""
+        self._server, self._stream, self.peer = server, stream, peer
+        self._parser = Parser(server.limits)
+        self.client = ClientSession(server.submissions, self.send)
+        self.worker = WorkerSession(self, server.workers)
+
+    def send(self, number: Type, *args: bytes) -> bool:
+        """Write a packet; False if the connection had ended before its first byte."""
+        return self._write(write(number, *args))
+
+    def _write(self, data: bytes) -> bool:
+        try:
+            self._stream.write(data)
+        except StreamClosedError:
+            return False
+        except StreamBufferFullError:
+            # Guards memory against one that does not read; nothing of this packet was written.
+            log.warning("gearman_peer_not_reading", peer=self.peer)
+            self._stream.close()
+            return False
+        return True
+
+    async def run(self) -> None:
+        """Follow its packets until either side ends the connection."""
+        try:
+            while True:
+                while (item := self._parser.next()) is not None:
+                    if isinstance(item, str):
+                        self._admin(item)
+                    else:
+                        self._take(item)
+                reading = self._stream.read_bytes(READ, partial=True)
+                # Guards against a peer that never finishes its packet; between packets it may rest.
+                whole = self._parser.empty
+                span = self._server.limits.client_read
+                self._parser.feed(await (reading if whole else within(span, reading)))
+        except PacketError as error:
+            log.warning("gearman_packet_refused", peer=self.peer, reason=str(error))
+            self.client.error("malformed", str(error))
+            await close_gently(self._stream, self._server.limits.linger)
+        except (StreamClosedError, TimeoutError):
+            pass
+        finally:
+            self._stream.close()
+            self.client.lost()
+            self._server.workers.lost(self.worker)
+
+    async def finish(self) -> None:
+        """End the connection without losing what was written."""
+        with suppress(StreamClosedError, TimeoutError):
+            await within(self._server.limits.linger, self._stream.write(b""))
+        self._stream.close()
+
+    def _take(self, packet: Packet) -> None:
+        if packet.type in clients.TYPES and not packet.response:
+            self.client.take(packet)
+        elif packet.type in workers.TYPES and not packet.response:
+            self.worker.take(packet)
+        else:
+            self.client.error("unsupported", f"packet type {packet.type} is not served here")
+
+    def _admin(self, line: str) -> None:
+        if line == "version":
+            text = f"OK {VERSION}\n"
+        elif line == "status":
+            text = "".join(f"{row}\n" for row in self._status()) + ".\n"
+        elif line == "workers":
+            rows = [f"{i} {c.peer} {c.worker.name or '-'} : {' '.join(sorted(c.worker.abilities))}".rstrip()
+                    for i, c in enumerate(self._server.open)]
+            text = "".join(f"{row}\n" for row in rows) + ".\n"
+        else:
+            text = "ERR unknown_command Unknown+server+command\n"
+        self._write(text.encode("latin-1"))
+
+    def _status(self) -> list[str]:
+        """Return a line for each function: jobs held, jobs running, workers that can do it."""
+        rows = []
+        for name in sorted(self._server.submissions.functions):
+            live = [t for t in self._server.submissions.table.live.values() if t.function == name]
+            able = sum(name in s.abilities for s in self._server.workers.all_sessions())
+            rows.append(f"{name}\t{len(live)}\t{sum(t.running for t in live)}\t{able}")
+        return rows
+
+
+class GearmanServer(TCPServer):
+    """Accepts connections and bounds their number."""
+
+    def __init__(self, limits: Limits, submissions: Submissions, workers: GearmanWorkers) -> None:
+        """Serve with these."""
+        super().__init__(max_buffer_size=4 * READ)
+        self.limits, self.submissions, self.workers = limits, submissions, workers
+        self.open: dict[GearmanConnection, None] = {}  # in the order they came
+
+    async def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
+        """Serve one connection."""
+        if len(self.open) >= self.limits.gearman_connections:
+            log.warning("gearman_connection_refused", open=len(self.open))
+            stream.close()
+            return
+        stream.set_nodelay(True)
+        stream.max_write_buffer_size = self.limits.unread
+        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        connection = GearmanConnection(self, stream, str(address[0]))
+        self.open[connection] = None
+        try:
+            await connection.run()
+        finally:
+            del self.open[connection]
+
+    async def finish(self) -> None:
+        """Accept no more and end every connection once its answers are written."""
+        self.stop()
+        await asyncio.gather(*(c.finish() for c in list(self.open)))
--- a/hazellead/limits.py
+++ b/hazellead/limits.py
@@ -12,14 +12,18 @@
 
     # Sizes in bytes.
     body: int = 64 * KIB
+    unread: int = 1024 * KIB  # written to a Gearman connection and not yet taken
     worker_list: int = 1024 * KIB
     head: int = 16 * KIB
     headers: int = 64
+    name: int = 512  # of a Gearman function, worker or unique key
     # Counts. A connection to the scheduler carries one request at a time.
     client_connections: int = 500
+    gearman_connections: int = 0
     worker_connections: int = 300
     idle_per_worker: int = 16
     requests: int = 1000
+    abilities: int = 256  # functions that one Gearman worker can do
     # How long before the client's deadline the scheduler stops waiting, so that its answer still arrives.
     answer_margin: timedelta = timedelta(milliseconds=25)
     connect: timedelta = timedelta(milliseconds=250)
@@ -32,15 +36,25 @@
     watch: timedelta = timedelta(seconds=20)
     watch_grace: timedelta = timedelta(seconds=1)  # past the watch, for its answer to arrive
     stop_accepting: timedelta = timedelta(milliseconds=700)  # after SIGTERM, for clients that don't know yet
+    grab: timedelta = timedelta(milliseconds=500)  # for a Gearman worker to ask for what was chosen for it
+    settle: timedelta = timedelta(seconds=10)  # after our start, for workers that only come back to us
+    poll: timedelta = timedelta(milliseconds=100)  # between looks at the inventory; two make a change count
+    # Unique keys that have ended.
+    remembered: int = 4096
+    remembered_bytes: int = 8192 * KIB
+    remembered_for: timedelta = timedelta(minutes=5)
     busy_retry: timedelta = timedelta(seconds=1)  # told to clients turned away for want of room
 
     @staticmethod
-    def fit(sockets: int, most_held: int, connect: timedelta, worker_idle: timedelta) -> "Limits":
+    def fit(
+        sockets: int, most_held: int, connect: timedelta, worker_idle: timedelta, *, gearman: bool = False,
+    ) -> "Limits":
         """Share out the descriptors, keeping some for discovery, the log and the listener."""
         usable = max(16, sockets - 64)
         clients = usable * 3 // 5
         return Limits(
-            client_connections=clients,
+            client_connections=clients // 2 if gearman else clients,
+            gearman_connections=clients // 2 if gearman else 0,
             worker_connections=usable - clients,
             # A refused connection still takes its answer: open requests stay under the connections.
             requests=max(1, min(most_held, clients)),
--- a/hazellead/platform/clients.py
+++ b/hazellead/platform/clients.py
@@ -48,6 +48,9 @@
     def progressed(self, share: float) -> None:
         """Do nothing."""
 
+    def partial(self, data: bytes, *, warning: bool, exception: bool) -> None:
+        """Do nothing."""
+
 
 class BadRequestError(Exception):
     """A request that is not to be taken; the status says how it is answered."""
@@ -118,7 +121,8 @@
             raise BadRequestError(400, "X-Expires-In is malformed")
         # Guards the timers: nobody waits longer than the class's deadline.
         return Job(identity, target, exchange.message.body, job_class, tenant, min(remaining, deadline),
-                   slots=self._slots(headers.get("x-props", "")))
+                   slots=self._slots(headers.get("x-props", "")),
+                   function=self._names.classes[job_class])
 
     def _slots(self, text: str) -> float:
         props = dict(p.strip().partition("=")[::2] for p in text.split(",") if p.strip())
--- a/hazellead/platform/config.py
+++ b/hazellead/platform/config.py
@@ -97,13 +97,16 @@
         raise ConfigError(f"settings: {error}") from None
 
 
-def fit_limits(settings: Settings, table: Mapping[str, str], sockets: int) -> Limits:
+def fit_limits(
+    settings: Settings, table: Mapping[str, str], sockets: int, *, gearman: bool = False,
+) -> Limits:
     """Fill the limits in from what the deployment allows."""
     try:
         held = int(float(table.get("caps.mostHeld", "0"))) or sockets
     except ValueError:
         raise ConfigError("settings: bad setting: caps.mostHeld") from None
-    return Limits.fit(sockets, held, span(settings.connect_timeout_us), span(settings.conn_idle_us))
+    connect, idle = span(settings.connect_timeout_us), span(settings.conn_idle_us)
+    return Limits.fit(sockets, held, connect, idle, gearman=gearman)
 
 
 def load(environment: Mapping[str, str] = os.environ) -> Config:
@@ -119,6 +122,13 @@
         raise ConfigError(f"{path}: not JSON: {error}") from None
     if not isinstance(given, dict):
         raise ConfigError(f"{path}: not an object")
+    return assemble(given, path, environment)
+
+
+def assemble(
+    given: dict[str, Any], path: str, environment: Mapping[str, str], *, gearman: bool = False,
+) -> Config:
+    """Make a configuration out of what a file holds."""
     settings, names, table = read_settings(given.get("settings"))
     limits = given.get("limits") or {}
     known = given.get("known") or {}
@@ -134,7 +144,7 @@
         listen=address(given.get("listen") or environment.get("GW_LISTEN"), "listen"),
         discovery=address(discovery, "discovery") if discovery else None,
         seed=seed, known=known, settings=settings, names=names,
-        limits=fit_limits(settings, table, sockets),
+        limits=fit_limits(settings, table, sockets, gearman=gearman),
     )
 
 
--- a/hazellead/platform/workers.py
+++ b/hazellead/platform/workers.py
@@ -110,8 +110,8 @@
 class HttpWorkers:
     """The worker transport of the platform's protocol."""
 
-    def __init__(self, places: Places, limits: Limits, clock: Clock, listen: tuple[str, int]) -> None:
-        """Reach workers at the places a directory tells; ``listen`` is where their call-backs arrive."""
+    def __init__(self, places: Places, limits: Limits, clock: Clock) -> None:
+        """Reach workers at the places a directory tells."""
         self._places, self._limits, self._clock = places, limits, clock
         self.pool = Pool(limits, clock)
         self._out: dict[tuple[str, str], Attempt] = {}  # by job's id and worker's name
--- /dev/null
+++ b/tests/loopback.py
@@ -0,0 +1,230 @@
+"""Stand-ins on loopback sockets, and a program among them; shared by the tests of the real scheduler."""
+
+import asyncio
+import json
+from collections import Counter
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
+from contextlib import asynccontextmanager, suppress
+from pathlib import Path
+from typing import Any, TypeVar
+
+from hypothesis import settings
+from tornado.testing import bind_unused_port
+
+from hazellead.__main__ import Program
+from hazellead.gearman import config as gearman_config
+from hazellead.gearman.packets import Packet, Parser, Type, write
+from hazellead.limits import Limits
+
+ROOT = Path(__file__).parents[1]
+STEADY = settings(derandomize=True, deadline=None, max_examples=50, stateful_step_count=30)
+T = TypeVar("T")
+
+
+def run(work: Coroutine[Any, Any, T]) -> T:
+    """Run a test's coroutine, and fail rather than hang."""
+    async def bounded() -> T:
+        return await asyncio.wait_for(work, 30)
+
+    return asyncio.run(bounded())
+
+
+def free_port() -> int:
+    sock, port = bind_unused_port()
+    sock.close()
+    return port
+
+
+async def until(true: Callable[[], object]) -> None:
+    """Wait for something to become so; the test's own time limit ends it otherwise."""
+    while not true():
+        await asyncio.sleep(0.005)
+
+
+class Running:
+    """A scheduler with the Gearman front, set up by the operator's sample file."""
+
+    def __init__(self, folder: Path, inventory: str, deadline: int = 5000) -> None:
+        self.inventory, operators = folder / "inventory.csv", folder / "gearman.toml"
+        self.inventory.write_text("name,address,protocol,zone,model,state\n" + inventory)
+        self.http, self.port = free_port(), free_port()
+        text = (ROOT / "deploy/gearman.toml").read_text()
+        for old, new in (("127.0.0.1:8080", f"127.0.0.1:{self.http}"),
+                         ("127.0.0.1:4730", f"127.0.0.1:{self.port}"),
+                         ("deadline_ms = 5000", f"deadline_ms = {deadline}")):
+            text = text.replace(old, new)
+        operators.write_text(text)
+        given = gearman_config.load(operators, {})
+        self.program = Program(given.base, given)
+
+    def rewrite(self, inventory: str) -> None:
+        self.inventory.write_text("name,address,protocol,zone,model,state\n" + inventory)
+
+
+@asynccontextmanager
+async def scheduler(folder: Path, inventory: str, deadline: int = 5000) -> AsyncIterator[Running]:
+    """Run a program with the Gearman front."""
+    running = Running(folder, inventory, deadline)
+    try:
+        yield running
+    finally:
+        assert running.program.gearman
+        await running.program.server.finish()
+        await running.program.gearman.finish()
+        running.program.sweeper.stop()
+
+
+class GearmanPeer:
+    """One end of a Gearman connection."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer, self.parser = reader, writer, Parser(Limits())
+
+    @classmethod
+    async def connect(cls, port: int) -> "GearmanPeer":
+        return cls(*await asyncio.open_connection("127.0.0.1", port))
+
+    def send(self, kind: Type, *args: bytes) -> None:
+        self.writer.write(write(kind, *args, response=False))
+
+    async def packet(self) -> Packet:
+        while (item := self.parser.next()) is None:
+            data = await self.reader.read(65536)
+            if not data:
+                raise ConnectionResetError
+            self.parser.feed(data)
+        assert isinstance(item, Packet)
+        return item
+
+    async def expect(self, *kinds: Type) -> Packet:
+        """Read on until one of these comes."""
+        while (packet := await self.packet()).type not in kinds:
+            pass
+        return packet
+
+    async def lines(self, command: str) -> list[str]:
+        """Send an admin command whose answer ends with a dot."""
+        self.writer.write(command.encode() + b"\n")
+        got = []
+        while (line := (await self.reader.readline()).decode().strip()) != ".":
+            got.append(line)
+        return got
+
+    def close(self) -> None:
+        self.writer.close()
+
+
+Act = Callable[[GearmanPeer, bytes, bytes], Awaitable[None]]
+
+
+async def complete(peer: GearmanPeer, handle: bytes, workload: bytes) -> None:
+    peer.send(Type.WORK_COMPLETE, handle, b"posted " + workload)
+
+
+class GearmanWorker:
+    """A stand-in posting worker: counts what it is given, then acts on it."""
+
+    def __init__(self, name: str, postings: Counter[bytes], act: Act = complete) -> None:
+        self.name, self.postings, self.act, self.awake = name, postings, act, asyncio.Event()
+        self.awake.set()
+
+    async def serve(self, port: int, function: bytes = b"post_payment") -> None:
+        peer = self.peer = await GearmanPeer.connect(port)
+        peer.send(Type.SET_CLIENT_ID, self.name.encode())
+        peer.send(Type.CAN_DO, function)
+        with suppress(ConnectionError):
+            while True:
+                peer.send(Type.GRAB_JOB_UNIQ)
+                packet = await peer.expect(Type.JOB_ASSIGN_UNIQ, Type.NO_JOB)
+                if packet.type == Type.NO_JOB:
+                    peer.send(Type.PRE_SLEEP)
+                    await peer.expect(Type.NOOP)
+                    await self.awake.wait()
+                    continue
+                handle, _, _, workload = packet.args
+                self.postings[workload] += 1
+                await self.act(peer, handle, workload)
+
+
+@asynccontextmanager
+async def workers(port: int, *some: GearmanWorker) -> AsyncIterator[None]:
+    """Keep stand-in workers connected."""
+    tasks = [asyncio.ensure_future(w.serve(port)) for w in some]
+    admin = await GearmanPeer.connect(port)
+
+    async def known() -> int:
+        return sum("post_payment" in line for line in await admin.lines("workers"))
+
+    while await known() < len(some):
+        await asyncio.sleep(0.01)
+    admin.close()
+    await asyncio.sleep(0.02)  # for the list to reach the module
+    try:
+        yield
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def http_message(reader: asyncio.StreamReader) -> tuple[str, dict[str, str], bytes]:
+    """Read one HTTP message whose length is stated."""
+    first, *rest = (await reader.readuntil(b"\r\n\r\n")).decode().strip().split("\r\n")
+    headers = {name.lower(): value.strip() for name, _, value in (line.partition(":") for line in rest)}
+    return first, headers, await reader.readexactly(int(headers.get("content-length", 0)))
+
+
+async def http_post(
+    port: int, target: str, body: bytes, headers: str = "",
+) -> tuple[int, dict[str, str], bytes]:
+    """Send one request on a connection of its own."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(f"POST {target} HTTP/1.1\r\n{headers}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+    first, got, answer = await http_message(reader)
+    writer.close()
+    return int(first.split()[1]), got, answer
+
+
+class HttpWorker:
+    """A stand-in posting worker on HTTP: counts what it is given, answers by ``reply`` and calls back."""
+
+    def __init__(self, uid: str, postings: Counter[bytes], back: Callable[[], int]) -> None:
+        self.uid, self.postings, self.back = uid, postings, back
+        self.requests: list[str] = []
+        self.reply: bytes | None = b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
+        self.states: list[dict[str, Any]] = [{"state": "started"}, {"state": "done"}]
+        self.early = False  # call back before the 202
+        self.port = 0
+
+    @asynccontextmanager
+    async def serving(self) -> AsyncIterator["HttpWorker"]:
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+        try:
+            yield self
+        finally:
+            server.close()
+
+    async def call_back(self, identity: str, **event: Any) -> int:
+        body = json.dumps({"id": identity, "from": self.uid, **event}).encode()
+        return (await http_post(self.back(), "/v1/job-events", body))[0]
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                first, headers, body = await http_message(reader)
+                self.requests.append(first)
+                if not first.startswith("POST"):
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                    continue
+                self.postings[body] += 1
+                if not self.early and self.reply:
+                    writer.write(self.reply)
+                if self.reply is None:
+                    writer.close()
+                    return
+                for event in self.states:
+                    result = {"result": f"posted {body.decode()}"} if event["state"] == "done" else {}
+                    assert await self.call_back(headers["x-trace-id"], **event, **result) == 200
+                if self.early:
+                    writer.write(self.reply)
