Test the core, the parser and the worker transport against models

The tests found one weakness: the pool counted its open connections by a close call-back, which a connection that ends before the call-back is set would never run. It now counts the streams that are open.

--- a/hazellead/platform/workers.py
+++ b/hazellead/platform/workers.py
@@ -46,7 +46,8 @@
         """Start with none."""
         self._limits, self._clock = limits, clock
         self._idle: dict[Place, list[tuple[IOStream, datetime]]] = defaultdict(list)
-        self._open = 0
+        self._open: set[IOStream] = set()
+        self._opening = 0
 
     async def take(self, place: Place) -> IOStream:
         """Return a connection that is open and quiet, the last used first, or open one."""
@@ -56,15 +57,14 @@
             if self._clock.now() - since < self._limits.worker_idle and streams.alive(stream):
                 return stream
             stream.close()
-        if self._open >= self._limits.worker_connections and not self._make_room():
+        if self._count() >= self._limits.worker_connections and not self._make_room():
             raise StreamClosedError(OSError("too many connections to workers"))
-        self._open += 1
+        self._opening += 1
         try:
             stream = await streams.connect(place.host, place.port, self._limits.connect)
-        except BaseException:
-            self._open -= 1
-            raise
-        stream.set_close_callback(self._closed)
+        finally:
+            self._opening -= 1
+        self._open.add(stream)
         return stream
 
     def give(self, place: Place, stream: IOStream) -> None:
@@ -76,6 +76,10 @@
         else:
             self._idle[place].append((stream, self._clock.now()))
 
+    def idle(self, place: Place) -> int:
+        """Return how many connections to a worker are kept."""
+        return len(self._idle.get(place, ()))
+
     def release(self, place: Place) -> None:
         """Close the idle connections to one worker."""
         for stream, _ in self._idle.pop(place, []):
@@ -103,8 +107,9 @@
         self._idle[place].pop(0)[0].close()
         return True
 
-    def _closed(self) -> None:
-        self._open -= 1
+    def _count(self) -> int:
+        self._open = {stream for stream in self._open if not stream.closed()}
+        return len(self._open) + self._opening
 
 
 class HttpWorkers:
@@ -115,7 +120,7 @@
         self._places, self._limits, self._clock = places, limits, clock
         self.pool = Pool(limits, clock)
         self._out: dict[tuple[str, str], Attempt] = {}  # by job's id and worker's name
-        self._tasks: dict[Attempt, asyncio.Task[None]] = {}  # those whose 202 is still awaited
+        self.tasks: dict[Attempt, asyncio.Task[None]] = {}  # those whose 202 is still awaited
         self._others: set[asyncio.Task[None]] = set()
         self._returned: OrderedDict[tuple[str, str], None] = OrderedDict()
 
@@ -133,13 +138,13 @@
             return
         self._out[key] = attempt
         task = asyncio.ensure_future(self._carry(attempt, place))
-        self._tasks[attempt] = task
-        task.add_done_callback(lambda _: self._tasks.pop(attempt, None))
+        self.tasks[attempt] = task
+        task.add_done_callback(lambda _: self.tasks.pop(attempt, None))
 
     def give_up(self, attempt: Attempt) -> None:
         """Close the connection before the 202; after it, tell the worker."""
         self._out = {k: a for k, a in self._out.items() if a is not attempt}
-        if task := self._tasks.get(attempt):
+        if task := self.tasks.get(attempt):
             task.cancel()
         elif place := self._places.place(attempt.worker):
             self._aside(self._delete(place, attempt.job.identity))
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -1,10 +1,13 @@
 """Stand-ins on loopback sockets, and a program among them; shared by the tests of the real scheduler."""
 
 import asyncio
+import heapq
+import itertools
 import json
 from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from contextlib import asynccontextmanager, suppress
+from datetime import UTC, datetime, timedelta
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -12,6 +15,7 @@
 from tornado.testing import bind_unused_port
 
 from hazellead.__main__ import Program
+from hazellead.core.clock import EPOCH, to_us
 from hazellead.gearman import config as gearman_config
 from hazellead.gearman.packets import Packet, Parser, Type, write
 from hazellead.limits import Limits
@@ -41,6 +45,60 @@
         await asyncio.sleep(0.005)
 
 
+class VirtualTime:
+    """A clock and the timers of a loop, moved by hand."""
+
+    def __init__(self) -> None:
+        self.time, self.timers, self.count = datetime(2026, 1, 1, tzinfo=UTC), list[Any](), itertools.count()
+
+    def now(self) -> datetime:
+        return self.time
+
+    def now_us(self) -> int:
+        return to_us(self.time - EPOCH)
+
+    def add_timeout(self, span: timedelta, call: Callable[..., Any], *args: Any) -> object:
+        timer = [self.time + max(span, timedelta(0)), next(self.count), call, args]
+        heapq.heappush(self.timers, timer)
+        return timer
+
+    def remove_timeout(self, timer: Any) -> None:
+        timer[2] = lambda *_: None
+
+    def run(self, span: timedelta) -> None:
+        """Let so much time pass."""
+        end = self.time + span
+        while self.timers and self.timers[0][0] <= end:
+            self.time, _, call, args = heapq.heappop(self.timers)
+            call(*args)
+        self.time = end
+
+
+class Answers:
+    """A client's reply that notes what it is told."""
+
+    def __init__(self) -> None:
+        self.final: list[str] = []
+
+    def served(self, result: bytes) -> None:
+        self.final.append(f"served {result.decode()}")
+
+    def refused(self, retry_after: timedelta) -> None:
+        self.final.append("refused")
+
+    def failed(self, reason: str) -> None:
+        self.final.append("failed")
+
+    def began(self) -> None:
+        pass
+
+    def progressed(self, share: float) -> None:
+        pass
+
+    def partial(self, data: bytes, **_: bool) -> None:
+        pass
+
+
 class Running:
     """A scheduler with the Gearman front, set up by the operator's sample file."""
 
--- a/tests/test_gearman_front.py
+++ b/tests/test_gearman_front.py
@@ -5,9 +5,7 @@
 from pathlib import Path
 
 import pytest
-
-from hazellead.gearman.packets import Type
-from tests.loopback import (
+from loopback import (
     GearmanPeer,
     GearmanWorker,
     HttpWorker,
@@ -20,6 +18,8 @@
     workers,
 )
 
+from hazellead.gearman.packets import Type
+
 FINAL = (Type.WORK_COMPLETE, Type.WORK_FAIL)
 TWO = "post-1,,gearman,tartu-dc,,up\npost-2,,gearman,tartu-dc,,up\n"
 ONE = "post-1,,gearman,tartu-dc,,up\n"
--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,90 @@
+"""The HTTP parser against a model: whatever the pieces, messages come out whole and in order."""
+
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from loopback import STEADY
+
+from hazellead.limits import Limits
+from hazellead.net.http import HttpError, Parser, request, response
+
+LIMITS = Limits(body=1000, head=200, headers=4)
+
+
+class Pieces(RuleBasedStateMachine):
+    """Messages are queued on a line, which brings its bytes in random pieces."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.parser, self.line, self.fed = Parser(LIMITS), b"", 0
+        self.due: list[tuple[int, bytes]] = []  # where on the line each message ends, and its body
+        self.got: list[bytes] = []
+
+    @rule(body=st.binary(max_size=300), chunks=st.integers(0, 3))
+    def queue(self, body: bytes, chunks: int) -> None:
+        if chunks:
+            parts = [body[i::chunks] for i in range(chunks)]
+            body = b"".join(parts)
+            coded = b"".join(b"%x;a=b\r\n%s\r\n" % (len(p), p) for p in parts if p) + b"0\r\nA: b\r\n\r\n"
+            self.line += b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + coded
+        else:
+            self.line += request("POST", "/a", "b", {"C": "d"}, body)
+        self.due.append((len(self.line), body))
+
+    @rule(count=st.integers(1, 400))
+    def bring(self, count: int) -> None:
+        self.parser.feed(self.line[self.fed:self.fed + count])
+        self.fed = min(self.fed + count, len(self.line))
+        while message := self.parser.next():
+            self.got.append(message.body)
+            assert message.first == ("POST", "/a", "HTTP/1.1") and message.keep
+
+    @invariant()
+    def whole_messages_came_out(self) -> None:
+        assert self.got == [body for end, body in self.due if end <= self.fed]
+
+
+Pieces.TestCase.settings = STEADY
+TestPieces = Pieces.TestCase
+
+
+@pytest.mark.parametrize(("data", "status"), [
+    (b"GET\r\n\r\n", 400), (b"GET / HTTP/2.0\r\n\r\n", 505), (b"G@T / HTTP/1.1\r\n\r\n", 400),
+    (b"GET /\x01 HTTP/1.1\r\n\r\n", 400), (b"GET / HTTP/1.1\r\nA b\r\n\r\n", 400),
+    (b"GET / HTTP/1.1\r\nA : b\r\n\r\n", 400), (b"GET / HTTP/1.1\r\nA: b\r\n c\r\n\r\n", 400),
+    (b"GET / HTTP/1.1\r\n" + b"A: b\r\n" * 5 + b"\r\n", 431), (b"GET /" + b"a" * 300, 431),
+    (b"POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n", 413),
+    (b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400),
+    (b"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\n", 400),
+    (b"POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
+    (b"POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", 400),
+    (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n", 400),
+    (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n400\r\n", 413),
+    (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc", 400),
+    (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + b"0" * 99, 400),
+])
+def test_what_is_malformed_or_too_large_has_its_status(data: bytes, status: int) -> None:
+    parser = Parser(LIMITS)
+    parser.feed(data)
+    with pytest.raises(HttpError) as error:
+        parser.next()
+    assert error.value.status == status
+
+
+def test_a_connection_is_kept_as_its_version_and_headers_say() -> None:
+    for head, keep in (("GET / HTTP/1.1", True), ("GET / HTTP/1.0", False),
+                       ("GET / HTTP/1.1\r\nConnection: x, Close", False),
+                       ("GET / HTTP/1.0\r\nConnection: keep-alive", True)):
+        parser = Parser(LIMITS)
+        parser.feed(head.encode() + b"\r\n\r\n")
+        message = parser.next()
+        assert message and message.keep is keep
+
+
+def test_a_response_may_end_with_its_connection() -> None:
+    parser = Parser(LIMITS, responses=True)
+    parser.feed(b"HTTP/1.1 100 Continue\r\n\r\n" + response(202) + b"HTTP/1.1 200\r\n\r\nabc")
+    assert [m.status for m in (parser.next(), parser.next()) if m] == [100, 202]
+    assert parser.next() is None
+    last = parser.at_end()
+    assert last and (last.status, last.body, last.keep) == (200, b"abc", False)
--- /dev/null
+++ b/tests/test_scheduler.py
@@ -0,0 +1,171 @@
+"""The core against a model of requests and attempts: one answer each, one end for each push."""
+
+from datetime import timedelta
+from typing import Any
+
+from helpers import BASE
+from hypothesis import strategies as st
+from hypothesis.stateful import Bundle, RuleBasedStateMachine, consumes, rule
+from loopback import STEADY, Answers, VirtualTime
+
+from hazellead import interface as api
+from hazellead.core.jobs import Attempt, Job
+from hazellead.core.scheduler import Scheduler
+from hazellead.limits import Limits
+
+SITE = api.Settings(
+    classes=(api.JobClass(100_000, 1_000_000, api.Effect.UNSAFE, stretch=2.0),),
+    tenants=BASE.tenants, tick_us=4000, max_attempts=3, reports=False, tells_start=True, must_ask=True)
+MS = timedelta(milliseconds=1)
+ENDS = [o for o in api.Outcome if o not in (api.Outcome.MOOT, api.Outcome.CANCELLED, api.Outcome.TIMED_OUT)]
+
+
+class Worker:
+    """Transport and directory in one: keeps what it is sent."""
+
+    def __init__(self) -> None:
+        self.sent: list[Attempt] = []
+        self.given_up: list[Attempt] = []
+
+    def send(self, attempt: Attempt) -> None:
+        assert attempt.may_send(), "sent to a worker that is not open to work"
+        self.sent.append(attempt)
+
+    def give_up(self, attempt: Attempt) -> None:
+        self.given_up.append(attempt)
+
+    def __getattr__(self, _: str) -> Any:  # probe, release, subscribe, fetch
+        return lambda *_: None
+
+
+class Jobs(RuleBasedStateMachine):
+    """Random clients, workers, lists and time against one scheduler."""
+
+    submitted = Bundle("submitted")
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.time, self.worker = VirtualTime(), Worker()
+        self.scheduler = Scheduler(SITE, 7, Limits(requests=20), self.time, self.time)  # type: ignore[arg-type]
+        self.scheduler.connect(self.worker, self.worker)
+        self.told: list[api.Event] = []
+        handle = self.scheduler._dispatcher.handle
+
+        def listen(now: int, events: list[api.Event]) -> list[api.Action]:
+            self.told += events
+            return handle(now, events)
+
+        self.scheduler._dispatcher.handle = listen  # type: ignore[method-assign,assignment]
+        self.replies: dict[int, Answers] = {}
+        self.left: set[int] = set()
+        self.phases = dict.fromkeys((1, 2, 3), api.Phase.READY)
+        self.tell()
+
+    def tell(self) -> None:
+        entries = tuple(api.WorkerEntry(w, phase=p) for w, p in self.phases.items())
+        self.scheduler.listed(api.WorkerList(api.ListKind.FULL, entries))
+
+    @rule(target=submitted, tenant=st.integers(0, 1), left=st.sampled_from([50, 900, 1000]))
+    def submit(self, tenant: int, left: int) -> int:
+        reply = Answers()
+        number = self.scheduler.submit(
+            Job(f"id{len(self.replies)}", "/a", b"", 0, tenant, left * MS), reply)
+        self.replies[number] = reply
+        return number
+
+    @rule(which=st.integers(0, 20), outcome=st.sampled_from(ENDS))
+    def end(self, which: int, outcome: api.Outcome) -> None:  # also again, for one that has ended
+        if self.worker.sent:
+            self.worker.sent[which % len(self.worker.sent)].end(outcome, b"x")
+
+    @rule(which=st.integers(0, 20))
+    def begin(self, which: int) -> None:
+        if self.worker.sent:
+            self.worker.sent[which % len(self.worker.sent)].began()
+
+    @rule(number=consumes(submitted))
+    def leave(self, number: int) -> None:
+        self.left.add(number)
+        self.scheduler.abandon(number)
+
+    @rule(worker=st.integers(1, 3), phase=st.sampled_from(api.Phase))
+    def change(self, worker: int, phase: api.Phase) -> None:
+        self.phases[worker] = phase
+        self.tell()
+
+    @rule(ms=st.sampled_from([1, 5, 40, 300]))
+    def wait(self, ms: int) -> None:
+        self.time.run(ms * MS)
+
+    def teardown(self) -> None:
+        self.time.run(timedelta(seconds=3))
+        ends = [e for e in self.told if isinstance(e, api.AttemptEnded)]
+        assert len({(e.request, e.attempt) for e in ends}) == len(ends), "a push ended twice"
+        of: dict[int, list[Attempt]] = {}
+        for attempt in self.worker.sent:
+            of.setdefault(attempt.request, []).append(attempt)
+            assert (attempt.request, attempt.number) in {(e.request, e.attempt) for e in ends}
+        for number, reply in self.replies.items():
+            attempts = of.get(number, [])
+            assert len(reply.final) <= 1 and (reply.final or number in self.left), "not one final answer"
+            assert len(attempts) <= SITE.max_attempts
+            ran = [a for a in attempts if a.outcome not in api.NEVER_RAN]
+            assert not ran or ran == attempts[-1:], "sent again though it may have run"
+            served = [a for a in attempts if a.outcome is api.Outcome.SERVED]
+            if reply.final and not served:
+                assert not ran or reply.final == ["failed"], "refused though it may have run"
+            assert bool(served) >= ("served x" in reply.final)
+        out = [a for a in self.worker.sent if a.outcome is api.Outcome.TIMED_OUT]
+        assert set(out) == set(self.worker.given_up) and len(out) == len(self.worker.given_up)
+        assert not self.scheduler._requests and not self.scheduler._identities
+
+
+Jobs.TestCase.settings = STEADY
+TestJobs = Jobs.TestCase
+
+
+def started() -> tuple[VirtualTime, Worker, Scheduler]:
+    time, worker = VirtualTime(), Worker()
+    scheduler = Scheduler(SITE, 7, Limits(requests=2), time, time)  # type: ignore[arg-type]
+    scheduler.connect(worker, worker)
+    scheduler.listed(api.WorkerList(api.ListKind.FULL, (api.WorkerEntry(1), api.WorkerEntry(2))))
+    return time, worker, scheduler
+
+
+def job(identity: str, left: int = 1000) -> Job:
+    return Job(identity, "/a", b"", 0, 0, left * MS)
+
+
+def test_the_same_id_is_not_taken_twice_while_it_is_out_even_if_its_client_left() -> None:
+    time, worker, scheduler = started()
+    scheduler.abandon(scheduler.submit(job("a"), Answers()))
+    number = scheduler.submit(job("b"), Answers())
+    time.run(10 * MS)
+    scheduler.abandon(number)
+    again = Answers()
+    scheduler.submit(job("b"), again)
+    assert again.final == ["failed"] and [a.job.identity for a in worker.sent] == ["b"]
+
+
+def test_a_full_table_refuses_and_a_deadline_is_answered_before_the_client_gives_up() -> None:
+    time, _, scheduler = started()
+    replies = [Answers() for _ in range(3)]
+    for i, reply in enumerate(replies):
+        scheduler.submit(job(str(i)), reply)
+    assert replies[2].final == ["refused"]
+    time.run(999 * MS)
+    assert [r.final for r in replies] == [["failed"], ["failed"], ["refused"]]
+
+
+def test_what_the_module_gives_up_on_is_answered_in_the_same_step() -> None:
+    time, _, scheduler = started()
+    scheduler.listed(api.WorkerList(api.ListKind.FULL))
+    reply = Answers()
+    scheduler.submit(job("a"), reply)
+    refused_at = None
+    for ms in range(1000):
+        time.run(MS)
+        if reply.final:
+            refused_at = ms
+            break
+    assert reply.final == ["refused"] and refused_at is not None and refused_at < 500
