--- a/hazellead/net/server.py
+++ b/hazellead/net/server.py
@@ -140,7 +140,7 @@
         super().__init__(max_buffer_size=4 * READ)
         self.limits, self.clock, self.handler = limits, clock, handler
         self.connections: set[Connection] = set()
-        self._sweeper = PeriodicCallback(self._sweep, 1000)
+        self._sweeper = PeriodicCallback(self.sweep, 1000)
         self._sweeper.start()
 
     async def handle_stream(self, stream: IOStream, address: object) -> None:
@@ -161,7 +161,7 @@
         finally:
             self.connections.discard(connection)
 
-    def _sweep(self) -> None:
+    def sweep(self) -> None:
         """End connections that idle too long, or are too slow to send a request or take an answer."""
         now = self.clock.now()
         for c in list(self.connections):
--- /dev/null
+++ b/tests/test_server.py
@@ -0,0 +1,172 @@
+"""A client's connection against a model of its states: waiting, half a request, one in hand, ended."""
+
+import asyncio
+import socket
+from datetime import timedelta
+from typing import Any
+
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
+from loopback import STEADY, free_port, http_message, run, until
+
+from hazellead.core.clock import Clock
+from hazellead.limits import Limits
+from hazellead.net.http import request
+from hazellead.net.server import Exchange, HttpServer
+
+QUICK = Limits(body=1000, linger=timedelta(seconds=0.2))
+
+
+class Talk(RuleBasedStateMachine):
+    """A client on a real connection; its requests may come in pieces and ahead of the answers."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.runner = asyncio.Runner()
+        self.runner.run(self.begin())
+        self.connect()
+
+    async def begin(self) -> None:
+        def handle(exchange: Exchange) -> None:
+            assert exchange.message.body == b"%d" % self.asked, "out of order"
+            self.asked += 1
+            self.hand.append(exchange)
+            exchange.on_gone = self.left
+
+        self.server = HttpServer(QUICK, Clock(), handle)
+        self.server.listen(port := free_port(), "127.0.0.1")
+        self.port = port
+
+    def connect(self) -> None:
+        self.sent, self.rest = 0, b""  # whole requests written; what is still to be written of one
+        self.asked = self.answered = self.gone = 0
+        self.hand: list[Exchange] = []
+        self.reader, self.writer = self.runner.run(asyncio.open_connection("127.0.0.1", self.port))
+
+    def left(self) -> None:
+        self.gone += 1
+
+    def settle(self) -> None:
+        """Wait for what the model says comes next: one request at a time is in hand."""
+        self.runner.run(asyncio.wait_for(until(
+            lambda: self.asked == min(self.sent, self.answered + 1)), 10))
+
+    @rule(part=st.integers(1, 99))
+    def write(self, part: int) -> None:
+        if not self.rest:
+            self.rest = request("POST", "/a", "b", {}, b"%d" % self.sent)
+        now, self.rest = self.rest[:part], self.rest[part:]
+        self.sent += not self.rest
+        self.writer.write(now)
+        self.settle()
+
+    @precondition(lambda self: self.asked > self.answered)
+    @rule(again=st.booleans())
+    def answer(self, again: bool) -> None:
+        exchange = self.hand[-1]
+        exchange.respond(200, b"%d" % self.answered)
+        if again:
+            exchange.respond(500)  # of no effect
+        first, _, body = self.runner.run(asyncio.wait_for(http_message(self.reader), 10))
+        assert first == "HTTP/1.1 200 OK" and body == b"%d" % self.answered
+        self.answered += 1
+        self.settle()
+
+    @rule(hard=st.booleans())
+    def leave(self, hard: bool) -> None:
+        if hard:
+            self.writer.transport.abort()
+        self.writer.close()
+        self.runner.run(asyncio.wait_for(until(lambda: not self.server.connections), 10))
+        assert self.gone == (self.asked > self.answered), "not told once that the client left"
+        self.connect()
+
+    def teardown(self) -> None:
+        self.writer.close()
+        self.runner.run(self.server.finish())
+        assert not self.server.connections
+        self.runner.close()
+
+
+Talk.TestCase.settings = STEADY
+TestTalk = Talk.TestCase
+
+
+async def raw(port: int, data: bytes) -> bytes:
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(data)
+    got = await reader.read()
+    writer.close()
+    return got
+
+
+def serving(limits: Limits) -> tuple[HttpServer, int]:
+    server = HttpServer(limits, Clock(), lambda exchange: exchange.respond(200, b"ok"))
+    server.listen(port := free_port(), "127.0.0.1")
+    return server, port
+
+
+@pytest.mark.parametrize(("data", "status"), [
+    (b"GET / HTTP/9\r\n\r\n", b"400"), (b"GET /" + b"a" * 20000, b"431"),
+    (b"POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n" + b"a" * 1001, b"413")])
+def test_a_bad_request_is_answered_whole_before_the_connection_ends(data: bytes, status: bytes) -> None:
+    async def case() -> None:
+        server, port = serving(QUICK)
+        got = await raw(port, data)
+        assert got.startswith(b"HTTP/1.1 " + status) and b"Connection: close" in got
+        await server.finish()
+
+    run(case())
+
+
+def test_one_that_waits_for_leave_to_send_its_body_gets_it() -> None:
+    async def case() -> None:
+        server, port = serving(QUICK)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"POST / HTTP/1.1\r\nContent-Length: 1\r\nExpect: 100-continue\r\n\r\n")
+        assert (await http_message(reader))[0] == "HTTP/1.1 100 Continue"
+        writer.write(b"a")
+        assert (await http_message(reader))[2] == b"ok"
+        writer.close()
+        await server.finish()
+
+    run(case())
+
+
+def test_connections_are_bounded_in_number_and_slowness() -> None:
+    async def case() -> None:
+        server, port = serving(Limits(client_connections=1, client_read=timedelta(0), linger=QUICK.linger))
+        _, idle = await asyncio.open_connection("127.0.0.1", port)
+        await until(lambda: any(c.idle for c in server.connections))
+        reader, slow = await asyncio.open_connection("127.0.0.1", port)  # the idle one makes room
+        slow.write(b"GET")
+        await until(lambda: any(not c.idle for c in server.connections))
+        refused = await raw(port, b"")  # a busy one does not
+        assert refused == b""
+        server.sweep()
+        assert await reader.read() == b""
+        idle.close()
+        slow.close()
+        await server.finish()
+
+    run(case())
+
+
+def test_a_request_that_crosses_the_close_is_not_taken() -> None:
+    async def case() -> None:
+        taken: list[Any] = []
+        server = HttpServer(QUICK, Clock(), taken.append)
+        server.listen(port := free_port(), "127.0.0.1")
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        await until(lambda: server.connections)
+        ending = asyncio.ensure_future(server.finish())
+        assert await reader.read() == b""  # told of the close; what follows was written before that was seen
+        writer.write(request("POST", "/a", "b"))
+        await ending
+        assert not taken
+        with pytest.raises(OSError), socket.create_connection(("127.0.0.1", port)):
+            pass
+        writer.close()
+
+    run(case())
