--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,120 @@
+"""The watch against a stand-in discovery: it goes on from what is known, at once, and tells its failures."""
+
+import asyncio
+import json
+import time
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from loopback import free_port, http_message, run, until
+
+from hazellead import interface as api
+from hazellead.limits import Limits
+from hazellead.platform.config import ConfigError, Names
+from hazellead.platform.discovery import Watch
+
+NAMES = Names(("a",), (), ("a", "b"), ("m1", "m2"))
+
+
+def target(uid: str, state: str = "up", **rest: Any) -> dict[str, Any]:
+    return {"uid": uid, "endpoint": "127.0.0.1:80", "az": "b", "model": "m2", "pod_group": 3, "state": state,
+            "capacity_hint": 1.5, "boot_ms": 0, **rest}
+
+
+def listing(rev: int, *targets: dict[str, Any], whole: bool = False) -> dict[str, Any]:
+    return {"rev": rev, "all": whole, "targets": list(targets)}
+
+
+class Discovery:
+    """Answers each call with the next answer; None ends the connection, and after the last it is silent."""
+
+    def __init__(self, *answers: Any) -> None:
+        self.answers, self.calls, self.at = list(answers), list[str](), list[float]()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            try:
+                first, _, _ = await http_message(reader)
+            except (asyncio.IncompleteReadError, ConnectionError):
+                return
+            self.calls.append(first.split()[1])
+            self.at.append(time.monotonic())
+            if not self.answers:
+                continue
+            answer = self.answers.pop(0)
+            if answer is None:
+                writer.close()
+                return
+            status, body = (200, json.dumps(answer).encode()) if isinstance(answer, dict) else answer
+            writer.write(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s" % (status, len(body), body))
+            self.at[-1] = time.monotonic()
+
+
+Check = Callable[[Watch, Discovery, list[api.WorkerList]], Any]
+
+
+def watching(check: Check, *answers: Any, known: dict[str, Any] | None = None) -> None:
+    async def case() -> None:
+        port, told, discovery = free_port(), list[api.WorkerList](), Discovery(*answers)
+        server = await asyncio.start_server(discovery.serve, "127.0.0.1", port)
+        watch = Watch(("127.0.0.1", port), NAMES, Limits(), known or {}, told.append)
+        await check(watch, discovery, told)
+        watch.close()
+        server.close()
+
+    run(case())
+
+
+def test_it_goes_on_from_the_version_it_holds() -> None:
+    async def check(watch: Watch, discovery: Discovery, told: list[api.WorkerList]) -> None:
+        watch.subscribe()
+        watch.subscribe()  # of no further effect while it runs
+        await until(lambda: len(discovery.calls) == 3)
+        assert discovery.calls == [f"/discovery/hosts?index={i}&wait=20000" for i in (41, 42, 50)]
+        assert discovery.at[1] - discovery.at[0] < 0.2 and discovery.at[2] - discovery.at[1] < 0.2
+        kinds = [t.kind for t in told]
+        assert kinds == [api.ListKind.CACHED, api.ListKind.CHANGES, api.ListKind.FULL]
+        (drained,) = told[1].entries
+        assert drained == api.WorkerEntry(1, 1, 1, 3, api.Phase.DRAINING, 1.5, 7_000)
+        assert [e.worker for e in told[2].entries] == [2, 1]
+        place = watch.place(2)
+        assert place and (place.uid, place.host, place.port) == ("s-2", "127.0.0.1", 81)
+
+    watching(check, listing(42, target("s-1", "draining", boot_ms=7)),
+             listing(50, target("s-2", endpoint="127.0.0.1:81"), target("s-1"), whole=True),
+             known=listing(41, target("s-1"), whole=True))
+
+
+@pytest.mark.parametrize("answer", [
+    None, (503, b""), (200, b"{"), (200, b"{}"), listing(2, {"uid": "s-1"}), listing(2, target("s-1", "odd")),
+    listing(2, target("s-1", endpoint="x"))])
+def test_each_failure_is_told_and_the_next_subscription_goes_on(answer: Any) -> None:
+    async def check(watch: Watch, discovery: Discovery, told: list[api.WorkerList]) -> None:
+        watch.subscribe()
+        await until(lambda: told)
+        assert told == [api.WorkerList(api.ListKind.FAILED)]
+        await asyncio.sleep(0)
+        await until(lambda: (watch.subscribe(), len(discovery.calls) == 3)[1])
+        assert told[1].entries[0].worker == 1 and discovery.calls[-1].endswith("index=9&wait=20000")
+
+    watching(check, answer, listing(9, target("s-1"), whole=True))
+
+
+def test_the_whole_list_can_be_fetched_and_an_absent_service_is_told() -> None:
+    async def check(watch: Watch, discovery: Discovery, told: list[api.WorkerList]) -> None:
+        watch.fetch()
+        await until(lambda: told)
+        assert discovery.calls == ["/discovery/hosts"] and told[0].kind is api.ListKind.FULL
+        absent = Watch(("127.0.0.1", free_port()), NAMES, Limits(), {}, told.append)
+        absent.subscribe()
+        absent.fetch()
+        await until(lambda: len(told) == 3)
+        assert {t.kind for t in told[1:]} == {api.ListKind.FAILED}
+
+    watching(check, listing(9, target("s-1"), whole=True))
+
+
+def test_a_malformed_list_at_start_is_a_plain_error() -> None:
+    with pytest.raises(ConfigError, match="known: malformed list"):
+        Watch(("127.0.0.1", 1), NAMES, Limits(), {"rev": 1}, [].append)
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,134 @@
+"""The whole program as the platform starts it: its configuration, its front and its end."""
+
+import asyncio
+import json
+import signal
+import subprocess
+import sys
+import tomllib
+from collections import Counter
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+from loopback import ROOT, HttpWorker, free_port, http_message, http_post, run, until
+from tornado.testing import bind_unused_port
+
+SETTINGS = tomllib.loads((ROOT / "deploy/gearman.toml").read_text())["settings"]
+TAKEN = bind_unused_port()
+HEADERS = "X-Trace-Id: {}\r\nX-Customer: pohja-vesi\r\nX-Expires-In: 5000m\r\n"
+
+
+def given(port: int, *workers: HttpWorker) -> dict[str, Any]:
+    targets = [{"uid": w.uid, "endpoint": f"127.0.0.1:{w.port}", "az": "tartu-dc", "state": "up"}
+               for w in workers]
+    return {"name": "n1", "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{free_port()}",
+            "seed": "8c1f", "limits": {"sockets": 1024}, "settings": SETTINGS,
+            "known": {"rev": 1, "all": True, "targets": targets}}
+
+
+@asynccontextmanager
+async def program(folder: Path, port: int, *workers: HttpWorker) -> Any:
+    (folder / "config.json").write_text(json.dumps(given(port, *workers)))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "hazellead", cwd=ROOT, env={"GW_CONFIG": str(folder / "config.json")},
+        stderr=asyncio.subprocess.PIPE)
+    try:
+        assert process.stderr and b"event=ready" in await process.stderr.readline()
+        yield process
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+
+async def get(port: int, target: str, method: str = "GET") -> int:
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(f"{method} {target} HTTP/1.1\r\n\r\n".encode())
+    first, _, _ = await http_message(reader)
+    writer.close()
+    return int(first.split()[1])
+
+
+def test_a_planned_end_answers_what_is_held_and_takes_more_for_a_while(tmp_path: Path) -> None:
+    async def case() -> None:
+        port, count = free_port(), Counter[bytes]()
+        worker = HttpWorker("s-1", count, lambda: port)
+        worker.states = [{"state": "started"}]
+        async with worker.serving(), program(tmp_path, port, worker) as process:
+            assert await get(port, "/up") == 200
+            idle, idle_writer = await asyncio.open_connection("127.0.0.1", port)
+            held = asyncio.ensure_future(http_post(port, "/post-payment", b"a", HEADERS.format("11")))
+            await until(lambda: count[b"a"])
+            process.send_signal(signal.SIGTERM)
+            while await get(port, "/up") == 200:
+                await asyncio.sleep(0.01)
+            late = asyncio.ensure_future(http_post(port, "/post-payment", b"b", HEADERS.format("22")))
+            await until(lambda: count[b"b"])  # new work, though the end has been called
+            await asyncio.sleep(0.8)
+            status, headers, _ = await http_post(port, "/post-payment", b"c", HEADERS.format("33"))
+            assert status == 429 and float(headers["retry-after"]) > 0 and not count[b"c"]
+            for identity in ("11", "22"):  # the listener is where call-backs arrive
+                assert await worker.call_back(identity, state="done", result="r" + identity) == 200
+            assert [(await x)[::2] for x in (held, late)] == [(200, b"r11"), (200, b"r22")]
+            assert await idle.read() == b""  # closed without a reset
+            idle_writer.close()
+            assert await asyncio.wait_for(process.wait(), 10) == 0
+
+    run(case())
+
+
+def test_call_backs_may_come_early_again_and_for_nothing(tmp_path: Path) -> None:
+    async def case() -> None:
+        port, count = free_port(), Counter[bytes]()
+        worker = HttpWorker("s-1", count, lambda: port)
+        worker.early = True
+        worker.states = [{"state": "started"}, {"state": "running", "share": 0.5}, {"state": "done"},
+                         {"state": "done"}, {"state": "failed"}]
+        async with worker.serving(), program(tmp_path, port, worker):
+            for i in range(3):
+                answer = await http_post(port, "/post-payment", b"%d" % i, HEADERS.format(i))
+                assert answer[::2] == (200, b"posted %d" % i)
+            assert set(count.values()) == {1}
+            assert await worker.call_back("99", state="done", result="x") == 200
+            for event in ({"state": "done"}, {"state": 1}, {"state": "running", "share": "x"}):
+                assert await worker.call_back("99", **event) == 400
+            assert (await http_post(port, "/v1/job-events", b"{"))[0] == 400
+
+    run(case())
+
+
+def test_what_is_not_a_job_is_answered_with_its_status(tmp_path: Path) -> None:
+    async def case() -> None:
+        port = free_port()
+        async with program(tmp_path, port):
+            good = HEADERS.format("1")
+            for status, target, headers in (
+                    (404, "/odd", good), (400, "/post-payment", good.replace("X-Trace", "X")),
+                    (400, "/post-payment", good.replace("pohja", "odd")),
+                    (400, "/post-payment", good.replace("5000m", "5s")), (405, "/up", ""),
+                    (400, "/post-payment", good + "X-Props: slots=x\r\n"),
+                    (400, "/post-payment", good.replace(": 1", ": ../x")),
+                    (429, "/post-payment", good)):  # no worker is known
+                assert (await http_post(port, target, b"", headers))[0] == status, (target, headers)
+            assert await get(port, "/post-payment") == await get(port, "/v1/job-events") == 405
+
+    run(case())
+
+
+@pytest.mark.parametrize(("change", "words"), [
+    ({"listen": "nowhere"}, "listen is no address"), ({"settings": None}, "settings are missing"),
+    ({"seed": "x"}, "seed a hexadecimal"), ({"known": {"rev": 1}}, "known: malformed"),
+    ({"settings": {**SETTINGS, "tickUs": "x"}}, "bad setting: tickUs"), ({"limits": [1]}, "objects"),
+    ({"settings": {**SETTINGS, "caps": {}}}, "missing setting: caps.maxAttempts"),
+    ({"listen": f"127.0.0.1:{TAKEN[1]}"}, "cannot listen"), (b"{", "not JSON"), (b"[]", "not an object")])
+def test_a_bad_configuration_is_one_plain_line(tmp_path: Path, change: Any, words: str) -> None:
+    path = tmp_path / "config.json"
+    if isinstance(change, bytes):
+        path.write_bytes(change)
+    else:
+        path.write_text(json.dumps(given(free_port()) | change))
+    done = subprocess.run([sys.executable, "-m", "hazellead"], cwd=ROOT, env={"GW_CONFIG": str(path)},
+                          capture_output=True, text=True, timeout=20, check=False)
+    assert done.returncode == 2 and words in done.stderr and done.stderr.count("\n") == 1
