--- a/hazellead/__main__.py
+++ b/hazellead/__main__.py
@@ -30,7 +30,8 @@
 
 
 def set_up_log() -> None:
-    """Write one line for each entry to standard error, at once."""
+    """Write one line for each entry to standard error, at once; the libraries' own entries too."""
+    logging.basicConfig(format="timestamp=%(asctime)s level=%(levelname)s event=library text=%(message)r")
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
--- a/hazellead/gearman/assembly.py
+++ b/hazellead/gearman/assembly.py
@@ -50,7 +50,8 @@
     def __init__(self, given: GearmanConfig, scheduler: Scheduler, clock: Clock) -> None:
         """Read the inventory and connect the scheduler."""
         limits = given.base.limits
-        self.workers = GearmanWorkers(lambda n: self.inventory.name(n), limits, self._present)
+        self.workers = GearmanWorkers(
+            lambda n: self.inventory.name(n), limits, self._present, IOLoop.current())
         self.inventory = Inventory(
             given.inventory, given.base.names, limits, clock, scheduler.listed, self.workers.recheck)
         self.http = HttpWorkers(self.inventory, limits, clock)
--- a/hazellead/gearman/workers.py
+++ b/hazellead/gearman/workers.py
@@ -90,7 +90,7 @@
         self.running[handle] = attempt
         attempt.began()
         if limit := self.abilities.get(job.function):
-            IOLoop.current().add_timeout(limit, self._expire, handle)
+            self._workers.loop.add_timeout(limit, self._expire, handle)
 
     def drop(self, attempt: Attempt) -> None:
         """Forget an attempt that was given up; what its worker still says of it is passed over."""
@@ -129,9 +129,10 @@
 
     def __init__(
         self, name_of: Callable[[int], str], limits: Limits, present: Callable[[str, bool], None],
+        loop: IOLoop,
     ) -> None:
         """``name_of`` gives a worker's name; ``present`` hears of its first and last connection."""
-        self._name_of, self.limits, self._present = name_of, limits, present
+        self._name_of, self.limits, self._present, self.loop = name_of, limits, present, loop
         self.sessions: dict[str, list[WorkerSession]] = {}  # by the name they gave
         self.waiting: dict[str, list[Attempt]] = {}  # chosen for a worker, nothing sent yet
         self._count = count(1)
@@ -148,7 +149,7 @@
             attempt.end(Outcome.FULL)  # turned away unseen
         else:
             waiting.append(attempt)
-            IOLoop.current().add_timeout(self.limits.grab, self._overdue, name, attempt)
+            self.loop.add_timeout(self.limits.grab, self._overdue, name, attempt)
             self.wake(name)
 
     def give_up(self, attempt: Attempt) -> None:
--- a/hazellead/platform/workers.py
+++ b/hazellead/platform/workers.py
@@ -196,7 +196,9 @@
                 {"X-Trace-Id": attempt.job.identity, "X-Expires-In": f"{left}u"}, attempt.job.body))
             await writing
             written = True
-            message = await read_response(stream, self._limits)
+            # Guards against a 202 that never follows a call-back which ended the attempt long ago.
+            over = attempt.until - self._clock.now() + self._limits.give_up
+            message = await streams.within(over, read_response(stream, self._limits))
         except asyncio.CancelledError:
             if stream:
                 stream.close()
