--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# The environment with the pinned libraries and tools; deploy/balancer.toml's build makes one with the libraries.
+VENV ?= .venv
+PYTHON = $(VENV)/bin/python
+
+.PHONY: build test lint run gearman
+
+build: $(VENV)/dev
+
+$(VENV)/dev: requirements.txt requirements-dev.txt
+	python3 -m venv $(VENV)
+	$(PYTHON) -m pip -q --disable-pip-version-check install -r requirements-dev.txt
+	cp requirements.txt $(VENV)/built-from
+	touch $@
+
+test: build
+	$(PYTHON) -m pytest
+
+lint: build
+	$(PYTHON) -m ruff check .
+	$(PYTHON) -m mypy
+
+# On the platform GW_CONFIG names the configuration.
+run: build
+	exec $(PYTHON) -m hazellead
+
+gearman: build
+	exec $(PYTHON) -m hazellead deploy/gearman.toml
--- a/hazellead/__main__.py
+++ b/hazellead/__main__.py
@@ -84,9 +84,10 @@
     async def stop(self) -> None:
         """Keep taking jobs until clients know, answer all that is held, close what is idle."""
         log.info("stopping", held=self.scheduler.held)
-        self.front.ready = False
+        self.front.ready, self.server.ending = False, True
         await asyncio.sleep(self.limits.stop_accepting.total_seconds())
         self.front.refusing = True
+        self.server.close_idle()
         if self.gearman:
             self.gearman.refuse()
         # The listeners stay open meanwhile: call-backs and Gearman workers' reports arrive there.
--- a/hazellead/core/scheduler.py
+++ b/hazellead/core/scheduler.py
@@ -148,7 +148,14 @@
     def _step(self) -> None:
         self._due, self._last = False, self._clock.now()
         events, self._events = self._events, []
-        for action in self._dispatcher.handle(self._clock.now_us(), events):
+        try:
+            actions = self._dispatcher.handle(self._clock.now_us(), events)
+        except Exception:
+            # Guards the requests that are held: a fault in one decision must not keep their deadlines from
+            # being answered.
+            log.exception("decision_fault")
+            return
+        for action in actions:
             self._carry_out(action)
 
     def _carry_out(self, action: api.Action) -> None:
--- a/hazellead/gearman/clients.py
+++ b/hazellead/gearman/clients.py
@@ -48,6 +48,9 @@
         background = packet.type in _BACKGROUND
         key = self._key(name, unique, data)
         ticket = self.table.find(key)
+        if ticket and len(ticket.listeners) >= self._scheduler.limits.requests:
+            client.error("too_many", "too many wait for this key")
+            return
         fresh = ticket is None
         ticket = ticket or self.table.add(function.name, key, background)
         ticket.background = ticket.background or background
--- a/hazellead/gearman/workers.py
+++ b/hazellead/gearman/workers.py
@@ -191,6 +191,8 @@
 
     def rename(self, session: WorkerSession, name: str) -> None:
         """Note under which name a worker goes; the empty one stands for none."""
+        if name == session.name:
+            return
         if old := self.sessions.get(session.name):
             old.remove(session)
             if not old:
--- a/hazellead/net/server.py
+++ b/hazellead/net/server.py
@@ -14,7 +14,7 @@
 from hazellead.core.clock import Clock
 from hazellead.limits import Limits
 from hazellead.net.http import HttpError, Message, Parser, response
-from hazellead.net.streams import READ, close_gently
+from hazellead.net.streams import READ, alive, close_gently
 
 log = structlog.get_logger()
 
@@ -57,7 +57,7 @@
         try:
             while message := await self._message():
                 await self._serve(message)
-                if self.closing or not message.keep:
+                if self.closing or not message.keep or self._server.ending:
                     break
         except HttpError as error:
             await self._write(error.status, f"{error}\n".encode(), {}, keep=False)
@@ -109,7 +109,8 @@
                 await self._read()
         status, body, headers = await exchange.answer
         self.exchange = None
-        await self._write(status, body, headers, keep=message.keep and not self.closing)
+        keep = message.keep and not self.closing and not self._server.ending
+        await self._write(status, body, headers, keep=keep)
 
     async def _write(self, status: int, body: bytes, headers: dict[str, str], *, keep: bool) -> None:
         self.since = self._server.clock.now()
@@ -122,7 +123,7 @@
     def close_when_idle(self) -> None:
         """End the connection, after the answer if a request is in hand or on its way."""
         self.closing = True
-        if self.idle and not self._stream.closed():
+        if self.idle and alive(self._stream):
             self._ended = True
             with suppress(OSError):
                 self._stream.socket.shutdown(socket.SHUT_WR)
@@ -140,6 +141,7 @@
         super().__init__(max_buffer_size=4 * READ)
         self.limits, self.clock, self.handler = limits, clock, handler
         self.connections: set[Connection] = set()
+        self.ending = False  # every answer ends its connection, so that clients go elsewhere
         self._sweeper = PeriodicCallback(self.sweep, 1000)
         self._sweeper.start()
 
@@ -169,12 +171,16 @@
                 if now - c.since > (self.limits.client_idle if c.idle else self.limits.client_read):
                     c.abort()
 
+    def close_idle(self) -> None:
+        """End the connections that carry nothing, and the others after their answers."""
+        for c in list(self.connections):
+            c.close_when_idle()
+
     async def finish(self) -> None:
         """Accept no more, let answers under way go out and end every connection."""
         self.stop()
         self._sweeper.stop()
-        for c in list(self.connections):
-            c.close_when_idle()
+        self.close_idle()
         by = self.clock.now() + self.limits.linger
         while self.connections and self.clock.now() < by:
             await asyncio.sleep(0.01)
--- a/hazellead/platform/config.py
+++ b/hazellead/platform/config.py
@@ -3,13 +3,13 @@
 import json
 import os
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from pathlib import Path
 from typing import Any
 
 from hazellead import wire
-from hazellead.core.clock import span
+from hazellead.core.clock import span, to_us
 from hazellead.interface import Settings
 from hazellead.limits import Limits
 
@@ -139,12 +139,15 @@
     except (TypeError, ValueError):
         raise ConfigError(f"{path}: limits.sockets is a number and seed a hexadecimal one") from None
     discovery = given.get("discovery") or environment.get("GW_DISCOVERY")
+    fit = fit_limits(settings, table, sockets, gearman=gearman)
+    # The module is told how long connections are kept here, so that what it thinks of them holds.
+    settings = replace(settings, conn_idle_us=to_us(fit.worker_idle))
     return Config(
         name=str(given.get("name") or environment.get("GW_NAME", "")),
         listen=address(given.get("listen") or environment.get("GW_LISTEN"), "listen"),
         discovery=address(discovery, "discovery") if discovery else None,
         seed=seed, known=known, settings=settings, names=names,
-        limits=fit_limits(settings, table, sockets, gearman=gearman),
+        limits=fit,
     )
 
 
--- a/hazellead/platform/discovery.py
+++ b/hazellead/platform/discovery.py
@@ -26,6 +26,9 @@
     """Discovery answered with something that is not a list."""
 
 
+_FAILURES = (StreamClosedError, TimeoutError, http.HttpError, ListError)
+
+
 class Watch:
     """The platform's worker directory: a watch that goes on from the version it holds."""
 
@@ -75,9 +78,8 @@
             while True:
                 by = self._limits.watch + self._limits.watch_grace
                 self._take(await within(by, self._call(f"?index={self._version}&wait={wait}")))
-        except (StreamClosedError, TimeoutError, http.HttpError, ListError) as error:
-            log.warning("discovery_failed", reason=str(error) or type(error).__name__)
-            self._listener(api.WorkerList(api.ListKind.FAILED))
+        except _FAILURES as error:
+            self._failed(error)
         finally:
             self._task = None
             self._drop()
@@ -87,13 +89,17 @@
         try:
             stream = await streams.connect(*self._discovery, self._limits.connect)
             self._take(await within(self._limits.watch_grace * 3, self._exchange(stream, "")))
-        except (StreamClosedError, TimeoutError, http.HttpError, ListError) as error:
-            log.warning("discovery_failed", reason=str(error) or type(error).__name__)
-            self._listener(api.WorkerList(api.ListKind.FAILED))
+        except _FAILURES as error:
+            self._failed(error)
         finally:
             if stream:
                 stream.close()
 
+    def _failed(self, error: Exception) -> None:
+        cause = getattr(error, "real_error", None) or error
+        log.warning("discovery_failed", reason=str(cause) or type(cause).__name__)
+        self._listener(api.WorkerList(api.ListKind.FAILED))
+
     async def _call(self, query: str) -> Any:
         if self._stream is None or not streams.alive(self._stream):
             self._drop()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -58,12 +58,17 @@
         worker.states = [{"state": "started"}]
         async with worker.serving(), program(tmp_path, port, worker) as process:
             assert await get(port, "/up") == 200
+            kept, kept_writer = await asyncio.open_connection("127.0.0.1", port)
             idle, idle_writer = await asyncio.open_connection("127.0.0.1", port)
             held = asyncio.ensure_future(http_post(port, "/post-payment", b"a", HEADERS.format("11")))
             await until(lambda: count[b"a"])
             process.send_signal(signal.SIGTERM)
             while await get(port, "/up") == 200:
                 await asyncio.sleep(0.01)
+            kept_writer.write(b"GET /up HTTP/1.1\r\n\r\n")
+            assert (await http_message(kept))[1]["connection"] == "close"  # for the client to go elsewhere
+            assert await kept.read() == b""
+            kept_writer.close()
             late = asyncio.ensure_future(http_post(port, "/post-payment", b"b", HEADERS.format("22")))
             await until(lambda: count[b"b"])  # new work, though the end has been called
             await asyncio.sleep(0.8)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -157,6 +157,18 @@
     assert [r.final for r in replies] == [["failed"], ["failed"], ["refused"]]
 
 
+def test_a_fault_in_a_decision_still_leaves_every_request_its_answer() -> None:
+    time, _, scheduler = started()
+
+    def broken(*_: Any) -> list[api.Action]:
+        raise KeyError("what was sought")
+
+    scheduler._dispatcher.handle = broken  # type: ignore[method-assign]
+    scheduler.submit(job("a"), reply := Answers())
+    time.run(999 * MS)
+    assert reply.final == ["failed"] and not scheduler.held
+
+
 def test_what_the_module_gives_up_on_is_answered_in_the_same_step() -> None:
     time, _, scheduler = started()
     scheduler.listed(api.WorkerList(api.ListKind.FULL))
