--- a/hazellead/__main__.py
+++ b/hazellead/__main__.py
@@ -8,7 +8,6 @@
 import os
 import signal
 import sys
-from datetime import timedelta
 from pathlib import Path
 
 import structlog
@@ -45,10 +44,10 @@
     )
 
 
-def listen(server: TCPServer, address: tuple[str, int]) -> None:
+def listen(server: TCPServer, address: tuple[str, int], backlog: int) -> None:
     """Listen, or say in one line why not."""
     try:
-        server.listen(address[1], address[0], backlog=512)
+        server.listen(address[1], address[0], backlog=backlog)
     except OSError as error:
         raise config.ConfigError(f"cannot listen at {address[0]}:{address[1]}: {error.strerror}") from None
 
@@ -73,10 +72,10 @@
             self.scheduler.connect(workers, self.watch)
         self.front = Front(self.scheduler, given.names, workers.call_back)
         self.server = HttpServer(given.limits, clock, self.front.handle)
-        listen(self.server, given.listen)
+        listen(self.server, given.listen, self.limits.backlog)
         if operators and self.gearman:
-            listen(self.gearman.server, operators.listen)
-        self.sweeper = PeriodicCallback(workers.pool.sweep, timedelta(seconds=0.5))
+            listen(self.gearman.server, operators.listen, self.limits.backlog)
+        self.sweeper = PeriodicCallback(workers.pool.sweep, self.limits.sweep)
         self.sweeper.start()
         self.front.ready = True
         log.info("ready", name=given.name, listen=f"{given.listen[0]}:{given.listen[1]}")
--- a/hazellead/gearman/inventory.py
+++ b/hazellead/gearman/inventory.py
@@ -18,7 +18,7 @@
 
 from hazellead import interface as api
 from hazellead.core.clock import EPOCH, Clock, to_us
-from hazellead.limits import KIB, Limits
+from hazellead.limits import Limits
 from hazellead.platform.config import ConfigError, Names, address, place
 from hazellead.platform.workers import Place
 
@@ -26,8 +26,6 @@
 
 FIELDS = ("name", "address", "protocol", "zone", "model", "state")
 _STATES = {"": api.Phase.READY, "up": api.Phase.READY, "draining": api.Phase.DRAINING, "down": api.Phase.GONE}
-_MOST_BYTES = 1024 * KIB
-_DEEPEST = 16  # groups within groups
 
 
 @dataclass(slots=True, frozen=True)
@@ -43,14 +41,14 @@
 Row = tuple[int, dict[str, str]]  # the line it stands on, and its fields
 
 
-def read(path: Path, names: Names) -> list[Host]:
+def read(path: Path, names: Names, limits: Limits) -> list[Host]:
     """Read an inventory; ConfigError names file and line of what is wrong."""
     try:
         data = path.read_bytes()
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from None
-    if len(data) > _MOST_BYTES:
-        raise ConfigError(f"{path}: larger than {_MOST_BYTES} bytes")
+    if len(data) > limits.inventory:
+        raise ConfigError(f"{path}: larger than {limits.inventory} bytes")
     try:
         text = data.decode()
     except UnicodeDecodeError as error:
@@ -59,7 +57,7 @@
     rows = _yaml_rows if path.suffix in (".yml", ".yaml") else _csv_rows
     hosts: dict[str, Host] = {}
     try:
-        for line, row in rows(text):
+        for line, row in rows(text, limits):
             host = _host(line, row, names)
             if host.name in hosts:
                 raise _LineError(line, f"{host.name} stands here twice")
@@ -75,7 +73,7 @@
         self.line = line
 
 
-def _csv_rows(text: str) -> Iterator[Row]:
+def _csv_rows(text: str, _: Limits) -> Iterator[Row]:
     reader = csv.reader(io.StringIO(text, newline=""), strict=True)
     columns: list[str] = []
     try:
@@ -98,7 +96,7 @@
         raise _LineError(1, "no header")
 
 
-def _yaml_rows(text: str) -> Iterator[Row]:
+def _yaml_rows(text: str, limits: Limits) -> Iterator[Row]:
     try:
         root = yaml.compose(text, Loader=yaml.SafeLoader)
     except yaml.MarkedYAMLError as error:
@@ -108,12 +106,12 @@
         raise _LineError(1, str(error).partition("\n")[0]) from None
     found: dict[str, Row] = {}
     for _, group in _items(root):
-        _group(group, {}, found, 0)
+        _group(group, {}, found, limits.group_depth)
     yield from found.values()
 
 
 def _group(group: Node, given: dict[str, str], found: dict[str, Row], depth: int) -> None:
-    if depth > _DEEPEST:
+    if depth < 0:
         raise _LineError(_line(group), "groups too deep")
     parts = {key: node for (key, _), node in _items(group)}
     if odd := set(parts) - {"hosts", "vars", "children"}:
@@ -124,7 +122,7 @@
         earlier = found[name][1] if name in found else {}
         found[name] = line, {**earlier, **inner, **_fields(node), "name": name}
     for _, child in _items(parts["children"]) if "children" in parts else ():
-        _group(child, inner, found, depth + 1)
+        _group(child, inner, found, depth - 1)
 
 
 def _fields(node: Node) -> dict[str, str]:  # variables meant for others are passed over
@@ -186,7 +184,7 @@
         self._hosts: dict[int, Host] = {}
         self._connected: dict[str, datetime] = {}  # since when
         self._seen = self._read = self._signature()
-        self._keep(read(path, names))
+        self._keep(read(path, names, limits))
         self._listener(api.WorkerList(api.ListKind.CACHED, self._entries()))
         self._poller = PeriodicCallback(self.look, limits.poll)
         self._poller.start()
@@ -232,7 +230,7 @@
             return
         self._read = self._seen
         try:
-            hosts = read(self._path, self._names)
+            hosts = read(self._path, self._names, self._limits)
         except ConfigError as error:
             log.error("inventory_kept", reason=str(error))
             return
--- a/hazellead/gearman/packets.py
+++ b/hazellead/gearman/packets.py
@@ -8,7 +8,6 @@
 
 _HEADER = struct.Struct(">4sII")
 _REQ, _RES = b"\0REQ", b"\0RES"
-_LINE = 1024  # bytes of an admin command
 
 
 class Type(IntEnum):
@@ -88,7 +87,8 @@
 
     def __init__(self, limits: Limits) -> None:
         """Start between packets."""
-        self._most, self._buffer = limits.body + limits.head, bytearray()
+        self._most, self._line_most = limits.body + limits.head, limits.admin_line
+        self._buffer = bytearray()
 
     @property
     def empty(self) -> bool:
@@ -124,7 +124,7 @@
 
     def _line(self) -> str | None:
         end = self._buffer.find(b"\n")
-        if end > _LINE or (end < 0 and len(self._buffer) > _LINE):
+        if max(end, len(self._buffer) if end < 0 else 0) > self._line_most:
             raise PacketError("line too long")
         if end < 0:
             return None
--- a/hazellead/gearman/server.py
+++ b/hazellead/gearman/server.py
@@ -13,7 +13,7 @@
 from hazellead.gearman.packets import Packet, PacketError, Parser, Type, write
 from hazellead.gearman.workers import GearmanWorkers, WorkerSession
 from hazellead.limits import Limits
-from hazellead.net.streams import READ, close_gently, within
+from hazellead.net.streams import close_gently, within
 
 log = structlog.get_logger()
 
@@ -55,7 +55,7 @@
                         self._admin(item)
                     else:
                         self._take(item)
-                reading = self._stream.read_bytes(READ, partial=True)
+                reading = self._stream.read_bytes(self._server.limits.read, partial=True)
                 # Guards against a peer that never finishes its packet; between packets it may rest.
                 whole = self._parser.empty
                 span = self._server.limits.client_read
@@ -63,7 +63,7 @@
         except PacketError as error:
             log.warning("gearman_packet_refused", peer=self.peer, reason=str(error))
             self.client.error("malformed", str(error))
-            await close_gently(self._stream, self._server.limits.linger)
+            await close_gently(self._stream, self._server.limits)
         except (StreamClosedError, TimeoutError):
             pass
         finally:
@@ -113,7 +113,7 @@
 
     def __init__(self, limits: Limits, submissions: Submissions, workers: GearmanWorkers) -> None:
         """Serve with these."""
-        super().__init__(max_buffer_size=4 * READ)
+        super().__init__(max_buffer_size=4 * limits.read)
         self.limits, self.submissions, self.workers = limits, submissions, workers
         self.open: dict[GearmanConnection, None] = {}  # in the order they came
 
--- a/hazellead/limits.py
+++ b/hazellead/limits.py
@@ -15,6 +15,10 @@
     unread: int = 1024 * KIB  # written to a Gearman connection and not yet taken
     worker_list: int = 1024 * KIB
     head: int = 16 * KIB
+    read: int = 64 * KIB  # taken from a connection at once; its buffer holds four of these
+    chunk_line: int = 64  # a chunk's size, its extensions included
+    admin_line: int = 1 * KIB
+    inventory: int = 1024 * KIB
     headers: int = 64
     name: int = 512  # of a Gearman function, worker or unique key
     # Counts. A connection to the scheduler carries one request at a time.
@@ -24,6 +28,10 @@
     worker_connections: int = 300
     idle_per_worker: int = 16
     requests: int = 1000
+    backlog: int = 512  # connections that the system holds for us
+    slots: int = 1024  # that one job may need
+    returned: int = 4096  # jobs handed back by call-back that are remembered
+    group_depth: int = 16  # of an inventory's groups
     abilities: int = 256  # functions that one Gearman worker can do
     # How long before the client's deadline the scheduler stops waiting, so that its answer still arrives.
     answer_margin: timedelta = timedelta(milliseconds=25)
@@ -34,6 +42,7 @@
     client_idle: timedelta = timedelta(seconds=120)
     client_read: timedelta = timedelta(seconds=10)  # for one request's bytes, and for taking one answer's
     linger: timedelta = timedelta(seconds=1)  # for a peer to read the last answer before the close
+    sweep: timedelta = timedelta(milliseconds=500)  # between looks for connections to be ended
     watch: timedelta = timedelta(seconds=20)
     watch_grace: timedelta = timedelta(seconds=1)  # past the watch, for its answer to arrive
     stop_accepting: timedelta = timedelta(milliseconds=700)  # after SIGTERM, for clients that don't know yet
--- a/hazellead/net/client.py
+++ b/hazellead/net/client.py
@@ -4,7 +4,6 @@
 
 from hazellead.limits import Limits
 from hazellead.net.http import Message, Parser
-from hazellead.net.streams import READ
 
 
 async def read_response(stream: IOStream, limits: Limits) -> Message:
@@ -12,7 +11,7 @@
     parser = Parser(limits, responses=True)
     while True:
         try:
-            parser.feed(await stream.read_bytes(READ, partial=True))
+            parser.feed(await stream.read_bytes(limits.read, partial=True))
         except StreamClosedError:
             if message := parser.at_end():
                 return message
--- a/hazellead/net/http.py
+++ b/hazellead/net/http.py
@@ -14,7 +14,6 @@
 _TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+\Z")
 _TARGET = re.compile(r"[!-~]+\Z")
 _VALUE = re.compile(r"[\t -~\x80-\xff]*\Z")  # no other control characters
-_SIZE_LINE = 64  # bytes of a chunk's size line, its extensions included
 
 
 class HttpError(Exception):
@@ -174,7 +173,7 @@
                     return True
                 continue
             size = self._buffer[:end].split(b";")[0].strip()
-            if not re.match(rb"[0-9A-Fa-f]{1,8}\Z", size) or end > _SIZE_LINE:
+            if not re.match(rb"[0-9A-Fa-f]{1,8}\Z", size) or end > self._limits.chunk_line:
                 raise HttpError(400, "malformed chunk")
             length = int(size, 16)
             if len(self._body) + length > self._limits.body:
@@ -189,7 +188,7 @@
                 raise HttpError(400, "malformed chunk")
             self._body += self._buffer[end + 2:end + 2 + length]
             del self._buffer[:end + length + 4]
-        if len(self._buffer) > (self._limits.head if self._trailing else _SIZE_LINE):
+        if len(self._buffer) > (self._limits.head if self._trailing else self._limits.chunk_line):
             raise HttpError(400, "malformed chunk")
         return False
 
--- a/hazellead/net/server.py
+++ b/hazellead/net/server.py
@@ -14,7 +14,7 @@
 from hazellead.core.clock import Clock
 from hazellead.limits import Limits
 from hazellead.net.http import HttpError, Message, Parser, response
-from hazellead.net.streams import READ, alive, close_gently
+from hazellead.net.streams import alive, close_gently
 
 log = structlog.get_logger()
 
@@ -68,7 +68,7 @@
                     self.exchange.on_gone()
         finally:
             if not self._stream.closed():
-                await close_gently(self._stream, self._server.limits.linger, self._reading)
+                await close_gently(self._stream, self._server.limits, self._reading)
 
     async def _message(self) -> Message | None:
         """Read the next request; None when the connection is to end between requests."""
@@ -95,7 +95,7 @@
         self._parser.feed(data)
 
     def _begin_read(self) -> asyncio.Future[bytes]:
-        return asyncio.ensure_future(self._stream.read_bytes(READ, partial=True))
+        return asyncio.ensure_future(self._stream.read_bytes(self._server.limits.read, partial=True))
 
     async def _serve(self, message: Message) -> None:
         self.exchange = exchange = Exchange(message)
@@ -138,12 +138,12 @@
 
     def __init__(self, limits: Limits, clock: Clock, handler: Callable[[Exchange], None]) -> None:
         """Hand every request to ``handler``."""
-        super().__init__(max_buffer_size=4 * READ)
+        super().__init__(max_buffer_size=4 * limits.read)
         self.limits, self.clock, self.handler = limits, clock, handler
         self.connections: set[Connection] = set()
         self._refused = 0  # turned away, with their answer on its way
         self.ending = False  # every answer ends its connection, so that clients go elsewhere
-        self._sweeper = PeriodicCallback(self.sweep, 1000)
+        self._sweeper = PeriodicCallback(self.sweep, limits.sweep)
         self._sweeper.start()
 
     async def handle_stream(self, stream: IOStream, address: object) -> None:
@@ -182,7 +182,7 @@
             try:
                 retry = {"Retry-After": f"{self.limits.busy_retry.total_seconds():.3f}"}
                 await stream.write(response(503, keep=False, headers=retry))
-                await close_gently(stream, self.limits.linger)
+                await close_gently(stream, self.limits)
             except StreamClosedError:
                 pass
             finally:
--- a/hazellead/net/streams.py
+++ b/hazellead/net/streams.py
@@ -8,9 +8,8 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from hazellead.limits import KIB
+from hazellead.limits import Limits
 
-READ = 64 * KIB
 MS = timedelta(milliseconds=1)
 
 
@@ -22,15 +21,15 @@
     return await asyncio.wait_for(waiting, span.total_seconds())
 
 
-async def connect(host: str, port: int, span: timedelta) -> IOStream:
-    """Open a connection in so long, or raise StreamClosedError or TimeoutError."""
+async def connect(host: str, port: int, limits: Limits) -> IOStream:
+    """Open a connection in time, or raise StreamClosedError or TimeoutError."""
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     try:
-        stream = IOStream(socket.socket(family, socket.SOCK_STREAM), max_buffer_size=4 * READ)
+        stream = IOStream(socket.socket(family, socket.SOCK_STREAM), max_buffer_size=4 * limits.read)
     except OSError as error:  # out of descriptors
         raise StreamClosedError(error) from error
     try:
-        await within(span, stream.connect((host, port)))
+        await within(limits.connect, stream.connect((host, port)))
     except BaseException:
         stream.close()
         raise
@@ -55,16 +54,16 @@
         return False
 
 
-async def close_gently(stream: IOStream, span: timedelta, reading: Awaitable[bytes] | None = None) -> None:
+async def close_gently(stream: IOStream, limits: Limits, reading: Awaitable[bytes] | None = None) -> None:
     """Close so that the other side can still read the last answer; ``reading`` is a read already begun.
 
     Guards against the reset that a close with unread bytes brings, which can overtake that answer.
     """
     try:
         stream.socket.shutdown(socket.SHUT_WR)
-        async with asyncio.timeout(span.total_seconds()):
+        async with asyncio.timeout(limits.linger.total_seconds()):
             while True:
-                await (reading or stream.read_bytes(READ, partial=True))
+                await (reading or stream.read_bytes(limits.read, partial=True))
                 reading = None
     except (StreamClosedError, OSError, TimeoutError):
         pass
--- a/hazellead/platform/clients.py
+++ b/hazellead/platform/clients.py
@@ -19,7 +19,6 @@
 EVENTS = "/v1/job-events"
 READY = "/up"
 _ID = re.compile(r"[0-9A-Za-z._~-]{1,128}\Z")  # it becomes a part of a path
-_MOST_SLOTS = 1024.0
 
 
 class _Reply:
@@ -130,7 +129,7 @@
             slots = float(props.get("slots", "1"))
         except ValueError:
             raise BadRequestError(400, "X-Props is malformed") from None
-        if not 0 <= slots <= _MOST_SLOTS:
+        if not 0 <= slots <= self._scheduler.limits.slots:
             raise BadRequestError(400, "X-Props is malformed")
         return slots or 1.0
 
--- a/hazellead/platform/discovery.py
+++ b/hazellead/platform/discovery.py
@@ -87,7 +87,7 @@
     async def _fetch(self) -> None:
         stream = None
         try:
-            stream = await streams.connect(*self._discovery, self._limits.connect)
+            stream = await streams.connect(*self._discovery, self._limits)
             self._take(await within(self._limits.watch_grace * 3, self._exchange(stream, "")))
         except _FAILURES as error:
             self._failed(error)
@@ -103,7 +103,7 @@
     async def _call(self, query: str) -> Any:
         if self._stream is None or not streams.alive(self._stream):
             self._drop()
-            self._stream = await streams.connect(*self._discovery, self._limits.connect)
+            self._stream = await streams.connect(*self._discovery, self._limits)
         return await self._exchange(self._stream, query)
 
     async def _exchange(self, stream: IOStream, query: str) -> Any:
--- a/hazellead/platform/workers.py
+++ b/hazellead/platform/workers.py
@@ -20,7 +20,6 @@
 log = structlog.get_logger()
 
 _STATES = {"failed": Outcome.ERROR, "returned": Outcome.FULL, "lost": Outcome.RESET}
-_RETURNED_KEPT = 4096  # jobs handed back by call-back that are remembered
 
 
 @dataclass(slots=True, frozen=True)
@@ -61,7 +60,7 @@
             raise StreamClosedError(OSError("too many connections to workers"))
         self._opening += 1
         try:
-            stream = await streams.connect(place.host, place.port, self._limits.connect)
+            stream = await streams.connect(place.host, place.port, self._limits)
         finally:
             self._opening -= 1
         self._open.add(stream)
@@ -172,7 +171,7 @@
         elif state in _STATES:
             if state == "returned":
                 self._returned[identity, sender] = None
-                if len(self._returned) > _RETURNED_KEPT:
+                if len(self._returned) > self._limits.returned:
                     self._returned.popitem(last=False)
             self._end(attempt, _STATES[state])
 
--- a/tests/test_gearman_parts.py
+++ b/tests/test_gearman_parts.py
@@ -277,7 +277,7 @@
 
 
 def test_both_forms_of_the_sample_inventory_say_the_same() -> None:
-    csv, yml = (inventory.read(ROOT / f"deploy/inventory.{form}", NAMES) for form in ("csv", "yml"))
+    csv, yml = (inventory.read(ROOT / f"deploy/inventory.{form}", NAMES, Limits()) for form in ("csv", "yml"))
     assert csv == yml and [h.name for h in csv] == ["post-1", "post-2", "post-3"]
     assert [h.entry.kind for h in csv] == [0, 1, 2] and csv[2].where and csv[2].where.port == 9003
 
@@ -293,7 +293,7 @@
     path = tmp_path / f"i.{form}"
     path.write_bytes(text.encode("latin-1"))
     with pytest.raises(ConfigError, match=rf"^{path}:{line}: "):
-        inventory.read(path, NAMES)
+        inventory.read(path, NAMES, Limits())
 
 
 def test_a_broken_or_unfinished_edit_keeps_the_old_list(tmp_path: Path) -> None:
