--- a/hazellead/gearman/workers.py
+++ b/hazellead/gearman/workers.py
@@ -81,7 +81,7 @@
     def assign(self, attempt: Attempt, form: Type, handle: bytes) -> None:
         """Give it a job. From the first byte on the job may have run."""
         job = attempt.job
-        args = [handle, job.function.encode("latin-1")]
+        args = [handle, job.function.encode("latin-1", "replace")]
         args += [job.unique.encode("latin-1")] if form is not Type.JOB_ASSIGN else []
         args += [b""] if form is Type.JOB_ASSIGN_ALL else []  # no reducer
         if not self._line.send(form, *args, job.body):
