--- a/hazellead/core/jobs.py
+++ b/hazellead/core/jobs.py
@@ -131,3 +131,6 @@
 
     def fetch(self) -> None:
         """Ask once for the whole list."""
+
+    def name(self, worker: int) -> str:
+        """Return what a worker is called, for the log."""
--- a/hazellead/core/scheduler.py
+++ b/hazellead/core/scheduler.py
@@ -128,7 +128,7 @@
             reply, request.reply = request.reply, None
             reply.served(result)
         elif attempt.outcome not in (api.Outcome.SERVED, api.Outcome.FULL):
-            log.info("attempt_failed", job=attempt.job.identity, worker=attempt.worker,
+            log.info("attempt_failed", job=attempt.job.identity, worker=self._directory.name(attempt.worker),
                      attempt=attempt.number, outcome=attempt.outcome.value,
                      spent=(self._clock.now() - attempt.sent).total_seconds())
         self._put(api.AttemptEnded(
--- a/hazellead/platform/discovery.py
+++ b/hazellead/platform/discovery.py
@@ -55,6 +55,10 @@
         """Return where a worker listens."""
         return self._places.get(worker)
 
+    def name(self, worker: int) -> str:
+        """Return a worker's name in discovery."""
+        return self._places[worker].uid if worker in self._places else str(worker)
+
     def subscribe(self) -> None:
         """Watch from now on."""
         if self._task is None:
