Read the configuration again at SIGHUP and follow discovery where it has moved

Cause: __main__.py (serve) handled SIGTERM and SIGINT only, so SIGHUP's default ended it; discovery.py had one address for life. Checked: the log ends without 'stopping', so nothing else ended it first. Now the file is read again, the watch begins anew at the new address with no version carried over, and the held list and the former watch count until that has told its list; the former's end is no failure. A broken file, or one naming no discovery, changes nothing and is logged; so is what must wait for a restart. The Gearman operator's file does the same for functions and inventory. SIGTERM works meanwhile.

--- a/hazellead/__main__.py
+++ b/hazellead/__main__.py
@@ -57,6 +57,7 @@
 
     def __init__(self, given: config.Config, operators: GearmanConfig | None) -> None:
         """Put the parts together and listen."""
+        self.given, self.operators = given, operators
         clock, self.limits = Clock(), given.limits
         self.scheduler = Scheduler(given.settings, given.seed, given.limits, clock, IOLoop.current())
         self.watch, self.gearman = None, None
@@ -80,6 +81,22 @@
         self.front.ready = True
         log.info("ready", name=given.name, listen=f"{given.listen[0]}:{given.listen[1]}")
 
+    def reload(self, given: config.Config, operators: GearmanConfig | None) -> None:
+        """Bring a new configuration in force, as far as that goes while jobs are under way."""
+        kept = config.fixed(self.given, given)
+        if operators and self.operators:
+            kept += ["gearman.listen"] if operators.listen != self.operators.listen else []
+        if self.gearman and operators:
+            # What functions are to the module rests on its settings, so they change together or not at all.
+            kept += self.gearman.reload(operators, same="settings" not in kept)
+        if self.watch:
+            if given.discovery is None:
+                raise config.ConfigError("discovery is missing")
+            self.watch.move(given.discovery)
+        if kept:
+            log.warning("config_needs_restart", changed=",".join(kept))
+        log.info("config_read")
+
     async def stop(self) -> None:
         """Keep taking jobs until clients know, answer all that is held, close what is idle."""
         log.info("stopping", held=self.scheduler.held)
@@ -102,20 +119,40 @@
         log.info("stopped")
 
 
+def load(operators_file: str | None) -> tuple[config.Config, GearmanConfig | None]:
+    """Read the configuration."""
+    if operators_file:
+        operators = gearman_config.load(Path(operators_file), os.environ)
+        return operators.base, operators
+    return config.load(os.environ), None
+
+
 async def serve(operators_file: str | None) -> None:
-    """Serve until SIGTERM or SIGINT."""
-    terminated = asyncio.Event()
+    """Serve until SIGTERM or SIGINT; read the configuration again at each SIGHUP."""
+    loop, terminated = asyncio.get_running_loop(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(number, terminated.set)
-    operators = gearman_config.load(Path(operators_file), os.environ) if operators_file else None
-    program = Program(operators.base if operators else config.load(os.environ), operators)
+        loop.add_signal_handler(number, terminated.set)
+    program = Program(*load(operators_file))
+
+    def reload() -> None:
+        try:
+            program.reload(*load(operators_file))
+        except config.ConfigError as error:
+            # Guards a running scheduler against a broken file: what is in force stays so.
+            log.error("config_kept", reason=str(error))
+
+    loop.add_signal_handler(signal.SIGHUP, reload)
     await terminated.wait()
     await program.stop()
+    # Guards the exit code against one that comes while the interpreter ends.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
 
 
 def main() -> int:
     """Run the scheduler; a configuration that cannot be used ends it with one plain line."""
     set_up_log()
+    # Guards against ending by a SIGHUP that comes before the loop listens for it.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     if len(sys.argv) > 2:
         print("hazellead: usage: python -m hazellead [OPERATOR_FILE]", file=sys.stderr)
         return 2
--- a/hazellead/gearman/assembly.py
+++ b/hazellead/gearman/assembly.py
@@ -63,6 +63,17 @@
         # In a step of its own: the end of a connection is told before it changes the list.
         IOLoop.current().add_callback(self.inventory.present, name, there)
 
+    def reload(self, given: GearmanConfig, *, same: bool) -> list[str]:
+        """Follow another inventory and other functions; ConfigError changes nothing.
+
+        Return what has to wait for the next start: the functions, unless the settings are the ``same``.
+        """
+        self.inventory.move(given.inventory)
+        if same:
+            self.submissions.functions = given.functions
+            return []
+        return ["gearman.functions"] if given.functions != self.submissions.functions else []
+
     def refuse(self) -> None:
         """Take no more jobs."""
         self.submissions.refusing = True
--- a/hazellead/gearman/inventory.py
+++ b/hazellead/gearman/inventory.py
@@ -169,6 +169,14 @@
     return Host(name, protocol, api.WorkerEntry(0, numbers[0], numbers[1], 0, _STATES[state]), where)
 
 
+def _signature(path: Path) -> tuple[int, int, int] | None:
+    try:
+        stat = path.stat()
+    except OSError:
+        return None
+    return stat.st_mtime_ns, stat.st_size, stat.st_ino
+
+
 class Inventory:
     """The worker directory of the Gearman front. One that speaks Gearman counts as there once it connects."""
 
@@ -183,7 +191,7 @@
         self._numbers: dict[str, int] = {}
         self._hosts: dict[int, Host] = {}
         self._connected: dict[str, datetime] = {}  # since when
-        self._seen = self._read = self._signature()
+        self._seen = self._read = _signature(path)
         self._keep(read(path, names, limits))
         self._listener(api.WorkerList(api.ListKind.CACHED, self._entries()))
         self._poller = PeriodicCallback(self.look, limits.poll)
@@ -225,7 +233,7 @@
         Guards against taking a half-written file for a fleet that has shrunk. Two polls are well under what
         a drain may take.
         """
-        before, self._seen = self._seen, self._signature()
+        before, self._seen = self._seen, _signature(self._path)
         if self._seen == self._read or self._seen != before:
             return
         self._read = self._seen
@@ -234,21 +242,26 @@
         except ConfigError as error:
             log.error("inventory_kept", reason=str(error))
             return
+        self._take(hosts)
+
+    def _take(self, hosts: list[Host]) -> None:
         self._keep(hosts)
         log.info("inventory_read", workers=len(hosts))
         self._tell()
 
+    def move(self, path: Path) -> None:
+        """Follow another file from now on; ConfigError, with no change, if it cannot be used."""
+        if path == self._path:
+            return
+        seen = _signature(path)
+        hosts = read(path, self._names, self._limits)
+        self._path, self._seen, self._read = path, seen, seen
+        self._take(hosts)
+
     def close(self) -> None:
         """Stop looking."""
         self._poller.stop()
 
-    def _signature(self) -> tuple[int, int, int] | None:
-        try:
-            stat = self._path.stat()
-        except OSError:
-            return None
-        return stat.st_mtime_ns, stat.st_size, stat.st_ino
-
     def _keep(self, hosts: list[Host]) -> None:
         for host in hosts:
             self._numbers.setdefault(host.name, len(self._numbers) + 1)
--- a/hazellead/limits.py
+++ b/hazellead/limits.py
@@ -44,7 +44,8 @@
     linger: timedelta = timedelta(seconds=1)  # for a peer to read the last answer before the close
     sweep: timedelta = timedelta(milliseconds=500)  # between looks for connections to be ended
     watch: timedelta = timedelta(seconds=20)
-    watch_grace: timedelta = timedelta(seconds=1)  # past the watch, for its answer to arrive
+    fetch: timedelta = timedelta(seconds=2)  # for discovery to answer a call that does not wait
+    watch_grace: timedelta = timedelta(seconds=1)  # past either, for the answer to arrive
     stop_accepting: timedelta = timedelta(milliseconds=700)  # after SIGTERM, for clients that don't know yet
     grab: timedelta = timedelta(milliseconds=500)  # for a Gearman worker to ask for what was chosen for it
     settle: timedelta = timedelta(seconds=10)  # after our start, for workers that only come back to us
--- a/hazellead/platform/config.py
+++ b/hazellead/platform/config.py
@@ -78,6 +78,12 @@
     limits: Limits
 
 
+def fixed(given: Config, new: Config) -> list[str]:
+    """Name what a new configuration changes that counts from the next start only."""
+    return [what for what in ("name", "listen", "settings", "names", "limits")
+            if getattr(given, what) != getattr(new, what)]
+
+
 def address(text: Any, what: str) -> tuple[str, int]:
     """Split host:port."""
     host, colon, port = str(text).rpartition(":")
--- a/hazellead/platform/discovery.py
+++ b/hazellead/platform/discovery.py
@@ -29,6 +29,26 @@
 _FAILURES = (StreamClosedError, TimeoutError, http.HttpError, ListError)
 
 
+class _Source:
+    """One discovery service: where it is, the version it last told, and the watch kept there."""
+
+    def __init__(self, address: tuple[str, int], version: int | None) -> None:
+        self.address, self.version = address, version
+        self.stream: IOStream | None = None
+        self.task: asyncio.Task[None] | None = None
+
+    def drop(self) -> None:
+        """End its connection."""
+        if self.stream:
+            self.stream.close()
+            self.stream = None
+
+    def leave(self) -> None:
+        """End its watch."""
+        if self.task:
+            self.task.cancel()
+
+
 class Watch:
     """The platform's worker directory: a watch that goes on from the version it holds."""
 
@@ -37,17 +57,15 @@
         listener: Callable[[api.WorkerList], None],
     ) -> None:
         """Tell the listener of the list held from before."""
-        self._discovery, self._names, self._limits = discovery, names, limits
-        self._listener = listener
+        self._names, self._limits, self._listener = names, limits, listener
         self._numbers: dict[str, int] = {}  # the module's numbers for workers' names
         self._places: dict[int, Place] = {}
-        self._version = 0
-        self._stream: IOStream | None = None
-        self._task: asyncio.Task[None] | None = None
+        self._source = _Source(discovery, 0)
+        self._former: _Source | None = None  # the one before, until the present one has told its list
         self._fetches: set[asyncio.Task[None]] = set()
         if known:
             try:
-                self._take(known, cached=True)
+                self._source.version = self._take(known, cached=True)
             except ListError as error:
                 raise ConfigError(f"known: {error}") from None
 
@@ -61,8 +79,23 @@
 
     def subscribe(self) -> None:
         """Watch from now on."""
-        if self._task is None:
-            self._task = asyncio.ensure_future(self._watch())
+        if self._source.task is None:
+            self._source.task = asyncio.ensure_future(self._watch(self._source))
+
+    def move(self, discovery: tuple[str, int]) -> None:
+        """Follow another discovery from now on.
+
+        Its versions are its own, so the whole list is asked for. Until that has come, the list that is held
+        stays in force, and the former watch goes on as long as it lasts: what is still told there counts.
+        """
+        if discovery == self._source.address:
+            return
+        if self._source.version is None:  # moved again before it told anything
+            self._source.leave()
+        else:
+            self._former = self._source
+        self._source = _Source(discovery, None)
+        self.subscribe()
 
     def fetch(self) -> None:
         """Ask once for the whole list."""
@@ -72,29 +105,41 @@
 
     def close(self) -> None:
         """Stop watching."""
-        if self._task:
-            self._task.cancel()
+        for source in (self._source, self._former):
+            if source:
+                source.leave()
 
-    async def _watch(self) -> None:
+    async def _watch(self, source: _Source) -> None:
         # The next call follows each answer at once: within 200 ms the changes in between count as told.
         wait = self._limits.watch // streams.MS
         try:
             while True:
-                by = self._limits.watch + self._limits.watch_grace
-                self._take(await within(by, self._call(f"?index={self._version}&wait={wait}")))
+                if source.version is None:
+                    query, span = "", self._limits.fetch
+                else:
+                    query, span = f"?index={source.version}&wait={wait}", self._limits.watch
+                given = await within(span + self._limits.watch_grace, self._call(source, query))
+                source.version = self._take(given)
+                if source is self._source and self._former:
+                    self._former.leave()
+                    self._former = None
         except _FAILURES as error:
-            self._failed(error)
+            # Guards against taking the end of a watch that was left for a failure of the present one.
+            if source is self._source:
+                self._failed(error)
         finally:
-            self._task = None
-            self._drop()
+            source.task = None
+            source.drop()
 
     async def _fetch(self) -> None:
-        stream = None
+        stream, address = None, self._source.address
         try:
-            stream = await streams.connect(*self._discovery, self._limits)
-            self._take(await within(self._limits.watch_grace * 3, self._exchange(stream, "")))
+            stream = await streams.connect(*address, self._limits)
+            self._take(await within(
+                self._limits.fetch + self._limits.watch_grace, self._exchange(stream, address, "")))
         except _FAILURES as error:
-            self._failed(error)
+            if address == self._source.address:
+                self._failed(error)
         finally:
             if stream:
                 stream.close()
@@ -104,14 +149,14 @@
         log.warning("discovery_failed", reason=str(cause) or type(cause).__name__)
         self._listener(api.WorkerList(api.ListKind.FAILED))
 
-    async def _call(self, query: str) -> Any:
-        if self._stream is None or not streams.alive(self._stream):
-            self._drop()
-            self._stream = await streams.connect(*self._discovery, self._limits)
-        return await self._exchange(self._stream, query)
+    async def _call(self, source: _Source, query: str) -> Any:
+        if source.stream is None or not streams.alive(source.stream):
+            source.drop()
+            source.stream = await streams.connect(*source.address, self._limits)
+        return await self._exchange(source.stream, source.address, query)
 
-    async def _exchange(self, stream: IOStream, query: str) -> Any:
-        host, port = self._discovery
+    async def _exchange(self, stream: IOStream, address: tuple[str, int], query: str) -> Any:
+        host, port = address
         await stream.write(http.request("GET", f"/discovery/hosts{query}", f"{host}:{port}"))
         message = await read_response(stream, self._limits.for_lists())
         if not message.keep:
@@ -123,23 +168,18 @@
         except ValueError:
             raise ListError("not JSON") from None
 
-    def _drop(self) -> None:
-        if self._stream:
-            self._stream.close()
-            self._stream = None
-
-    def _take(self, given: Any, *, cached: bool = False) -> None:
-        """Read one list and tell it; a malformed one changes nothing."""
+    def _take(self, given: Any, *, cached: bool = False) -> int:
+        """Read one list, tell it and return its version; a malformed one changes nothing."""
         try:
             version, whole = int(given["rev"]), bool(given["all"])
             read = [self._entry(t) for t in given["targets"]]
         except (KeyError, TypeError, ValueError, ConfigError) as error:
             raise ListError(f"malformed list: {error}") from None
-        self._version = version
         self._places |= {entry.worker: where for entry, where in read if where}
         full = api.ListKind.CACHED if cached else api.ListKind.FULL
         kind = full if whole else api.ListKind.CHANGES
         self._listener(api.WorkerList(kind, tuple(entry for entry, _ in read)))
+        return version
 
     def _entry(self, target: Any) -> tuple[api.WorkerEntry, Place | None]:
         uid = str(target["uid"])
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -31,8 +31,15 @@
 
     def __init__(self, *answers: Any) -> None:
         self.answers, self.calls, self.at = list(answers), list[str](), list[float]()
+        self.writers: list[asyncio.StreamWriter] = []
+
+    def tell(self, answer: dict[str, Any]) -> None:
+        """Answer the last call."""
+        body = json.dumps(answer).encode()
+        self.writers[-1].write(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.append(writer)
         while True:
             try:
                 first, _, _ = await http_message(reader)
@@ -118,3 +125,49 @@
 def test_a_malformed_list_at_start_is_a_plain_error() -> None:
     with pytest.raises(ConfigError, match="known: malformed list"):
         Watch(("127.0.0.1", 1), NAMES, Limits(), {"rev": 1}, [].append)
+
+
+def test_a_move_keeps_the_list_until_the_new_address_has_told_its_own() -> None:
+    async def check(watch: Watch, first: Discovery, told: list[api.WorkerList]) -> None:
+        watch.subscribe()
+        await until(lambda: first.calls)
+        second = Discovery()  # silent at first, as one that handles its calls in turn
+        server = await asyncio.start_server(second.serve, "127.0.0.1", port := free_port())
+        watch.move(("127.0.0.1", port))
+        await until(lambda: second.calls)
+        first.tell(listing(42, target("s-1", "draining")))  # still told by the old address
+        await until(lambda: len(told) == 2)
+        first.writers[-1].close()  # as the old address does: no failure of the new one
+        await asyncio.sleep(0.05)
+        second.tell(listing(7, target("s-2"), whole=True))
+        await until(lambda: len(second.calls) == 2)
+        assert second.calls == ["/discovery/hosts", "/discovery/hosts?index=7&wait=20000"]
+        assert [(t.kind, [e.worker for e in t.entries]) for t in told] == [
+            (api.ListKind.CACHED, [1]), (api.ListKind.CHANGES, [1]), (api.ListKind.FULL, [2])]
+        second.writers[-1].close()
+        await until(lambda: len(told) == 4)  # a failure of the present address is one
+        assert told[3].kind is api.ListKind.FAILED
+        server.close()
+
+    watching(check, known=listing(41, target("s-1"), whole=True))
+
+
+def test_a_second_move_leaves_an_address_that_never_answered() -> None:
+    async def check(watch: Watch, first: Discovery, told: list[api.WorkerList]) -> None:
+        watch.subscribe()
+        await until(lambda: first.calls)
+        silent = Discovery()
+        server = await asyncio.start_server(silent.serve, "127.0.0.1", port := free_port())
+        watch.move(("127.0.0.1", port))
+        await until(lambda: silent.calls)
+        watch.move(("127.0.0.1", free_port()))  # nothing listens there
+        await until(lambda: told)
+        assert told == [api.WorkerList(api.ListKind.FAILED)]
+        first.tell(listing(5, target("s-1"), whole=True))
+        await until(lambda: len(told) == 2)  # the last address that has answered counts meanwhile
+        silent.tell(listing(6, target("s-2"), whole=True))
+        await asyncio.sleep(0.05)
+        assert len(told) == 2
+        server.close()
+
+    watching(check)
--- a/tests/test_gearman_front.py
+++ b/tests/test_gearman_front.py
@@ -18,7 +18,9 @@
     workers,
 )
 
+from hazellead.gearman import config as gearman_config
 from hazellead.gearman.packets import Type
+from hazellead.platform.config import ConfigError
 
 FINAL = (Type.WORK_COMPLETE, Type.WORK_FAIL)
 TWO = "post-1,,gearman,tartu-dc,,up\npost-2,,gearman,tartu-dc,,up\n"
@@ -148,6 +150,38 @@
     run(case())
 
 
+def test_a_reload_takes_new_functions_and_another_inventory_or_changes_nothing(tmp_path: Path) -> None:
+    async def case() -> None:
+        count: Counter[bytes] = Counter()
+        async with scheduler(tmp_path, ONE) as s:
+            operators = tmp_path / "gearman.toml"
+            text = operators.read_text()
+
+            def reload(new: str) -> None:
+                operators.write_text(new)
+                given = gearman_config.load(operators, {})
+                s.program.reload(given.base, given)
+
+            (tmp_path / "new.csv").write_text("name,address\nhttp-1,nowhere,1\n")
+            new = text.replace('"inventory.csv"', '"new.csv"').replace("post_payment_water", "post_water")
+            with pytest.raises(ConfigError, match="new.csv:2"):
+                reload(new)
+            assert s.program.gearman
+            assert "post_payment_water" in s.program.gearman.submissions.functions
+            (tmp_path / "new.csv").write_text("name\npost-2\n")
+            reload(new)
+            async with workers(s.port, GearmanWorker("post-2", count)):
+                client = await GearmanPeer.connect(s.port)
+                await submit(client, b"a")  # its worker stands in the new inventory only
+                assert (await client.expect(*FINAL)).type == Type.WORK_COMPLETE and count == {b"a": 1}
+                client.send(Type.SUBMIT_JOB, b"post_payment_water", b"", b"b")
+                assert (await client.packet()).type == Type.ERROR
+                client.send(Type.SUBMIT_JOB, b"post_water", b"", b"b")
+                assert (await client.packet()).type == Type.JOB_CREATED
+
+    run(case())
+
+
 def test_an_expired_deadline_ends_in_a_failure(tmp_path: Path) -> None:
     async def case() -> None:
         count: Counter[bytes] = Counter()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -7,7 +7,7 @@
 import sys
 import tomllib
 from collections import Counter
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 from typing import Any
 
@@ -84,6 +84,45 @@
     run(case())
 
 
+def test_a_reload_follows_discovery_elsewhere_and_a_broken_file_changes_nothing(tmp_path: Path) -> None:
+    async def case() -> None:
+        port, count, asked = free_port(), Counter[bytes](), list[str]()
+        worker = HttpWorker("s-1", count, lambda: port)
+
+        async def discovery(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            with suppress(asyncio.IncompleteReadError):
+                while True:
+                    asked.append((await http_message(reader))[0].split()[1])
+                    if "?" not in asked[-1]:
+                        body = json.dumps({"rev": 3, "all": True, "targets": given(port, worker)["known"][
+                            "targets"]}).encode()
+                        writer.write(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+
+        async with worker.serving(), program(tmp_path, port) as process:
+            server = await asyncio.start_server(discovery, "127.0.0.1", moved := free_port())
+            path = tmp_path / "config.json"
+            answer = await http_post(port, "/post-payment", b"a", HEADERS.format(1))
+            assert answer[0] == 429  # no worker is known
+            for text, event in (("{", b"config_kept"), ("{}", b"config_kept"), (
+                    json.dumps(given(port) | {"discovery": f"127.0.0.1:{moved}", "name": "n2"}),
+                    b"changed=name")):
+                path.write_text(text)
+                process.send_signal(signal.SIGHUP)
+                while event not in (line := await process.stderr.readline()):
+                    assert line, "ended"
+            await until(lambda: len(asked) == 2)
+            assert asked == ["/discovery/hosts", "/discovery/hosts?index=3&wait=20000"]
+            await asyncio.sleep(0.05)
+            answer = await http_post(port, "/post-payment", b"b", HEADERS.format(2))
+            assert answer[::2] == (200, b"posted b")
+            process.send_signal(signal.SIGTERM)
+            process.send_signal(signal.SIGHUP)  # no obstacle to the planned end
+            assert await asyncio.wait_for(process.wait(), 10) == 0
+            server.close()
+
+    run(case())
+
+
 def test_call_backs_may_come_early_again_and_for_nothing(tmp_path: Path) -> None:
     async def case() -> None:
         port, count = free_port(), Counter[bytes]()
