End silent, slow and unreadable clients within 3 s and keep their harm from others

Also by reading, confirmed by tests that fail before: client_read 10 s and client_idle 120 s let half a request and a silent connection stay, and empty lines kept a connection for ever; a used id was answered 502 while open and taken again once ended; nothing bounded the bytes of unfinished requests but the count of connections. Now: 2 s for a request from its first byte, the first from the connection's start, looked at every 0.5 s; 408 or a close; 409 for used ids; the connection ends after bad input; bytes that begin no request bring 400 unsent; room is made first by those who miss least; memory_mb bounds unfinished requests; Gearman peers that never say anything whole end as well. A worker's first 4xx in a row is the request's fault. Checked and left: both lengths at once were already refused.

--- a/hazellead/core/scheduler.py
+++ b/hazellead/core/scheduler.py
@@ -1,5 +1,6 @@
 """Drives one ``Dispatcher``: owns its timers, the table of requests and their one final answer each."""
 
+from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
@@ -37,6 +38,7 @@
         self._dispatcher = Dispatcher(settings, seed)
         self._requests: dict[int, _Request] = {}
         self._identities: set[str] = set()
+        self._ended: OrderedDict[str, None] = OrderedDict()  # those that have lately ended
         self._phases: dict[int, api.Phase] = {}
         self._events: list[api.Event] = []
         self._tick = span(settings.tick_us)
@@ -61,6 +63,13 @@
 
     # From clients.
 
+    def has_taken(self, identity: str) -> bool:
+        """Say whether a request of this id is open or has lately ended: ids are fresh with every request.
+
+        Guards against posting twice, and against two requests that call-backs could not tell apart.
+        """
+        return identity in self._identities or identity in self._ended
+
     def submit(self, job: Job, reply: ClientReply) -> int:
         """Take a job in and return the number by which it can be abandoned."""
         self._count += 1
@@ -239,6 +248,9 @@
         if request.reply is None and all(a.outcome for a in request.attempts):
             if self._requests.pop(request.number, None):
                 self._identities.discard(request.job.identity)
+                self._ended[request.job.identity] = None
+                if len(self._ended) > self.limits.taken:
+                    self._ended.popitem(last=False)
                 self._loop.remove_timeout(request.timer)
             if self._emptied and not self._requests:
                 self._emptied()
--- a/hazellead/gearman/assembly.py
+++ b/hazellead/gearman/assembly.py
@@ -57,7 +57,7 @@
         self.http = HttpWorkers(self.inventory, limits, clock)
         scheduler.connect(Transports(self.inventory, self.http, self.workers), self.inventory)
         self.submissions = Submissions(scheduler, JobTable(given.base.name, limits, clock), given.functions)
-        self.server = GearmanServer(limits, self.submissions, self.workers)
+        self.server = GearmanServer(limits, clock, self.submissions, self.workers)
 
     def _present(self, name: str, there: bool) -> None:
         # In a step of its own: the end of a connection is told before it changes the list.
--- a/hazellead/gearman/server.py
+++ b/hazellead/gearman/server.py
@@ -3,11 +3,13 @@
 import asyncio
 import socket
 from contextlib import suppress
+from datetime import timedelta
 
 import structlog
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 from tornado.tcpserver import TCPServer
 
+from hazellead.core.clock import Clock
 from hazellead.gearman import clients, workers
 from hazellead.gearman.clients import ClientSession, Submissions
 from hazellead.gearman.packets import Packet, PacketError, Parser, Type, write
@@ -27,6 +29,8 @@
         """Start with no role: its packets tell."""
         self._server, self._stream, self.peer = server, stream, peer
         self._parser = Parser(server.limits)
+        self.since = server.clock.now()  # its start, or that of the packet under way
+        self.spoke = False  # it has sent a whole packet
         self.client = ClientSession(server.submissions, self.send)
         self.worker = WorkerSession(self, server.workers)
 
@@ -51,15 +55,20 @@
         try:
             while True:
                 while (item := self._parser.next()) is not None:
+                    self.spoke = True
                     if isinstance(item, str):
                         self._admin(item)
                     else:
                         self._take(item)
                 reading = self._stream.read_bytes(self._server.limits.read, partial=True)
-                # Guards against a peer that never finishes its packet; between packets it may rest.
-                whole = self._parser.empty
-                span = self._server.limits.client_read
-                self._parser.feed(await (reading if whole else within(span, reading)))
+                # Guards against a peer that never says anything or never finishes its packet, however it
+                # drips; between packets it may rest.
+                if self.spoke and self._parser.empty:
+                    self._parser.feed(await reading)
+                    self.since = self._server.clock.now()
+                else:
+                    left = self.since + self._server.limits.client_read - self._server.clock.now()
+                    self._parser.feed(await within(max(left, timedelta(0)), reading))
         except PacketError as error:
             log.warning("gearman_packet_refused", peer=self.peer, reason=str(error))
             self.client.error("malformed", str(error))
@@ -77,6 +86,10 @@
             await within(self._server.limits.linger, self._stream.write(b""))
         self._stream.close()
 
+    def drop(self) -> None:
+        """End the connection at once."""
+        self._stream.close()
+
     def _take(self, packet: Packet) -> None:
         if packet.type in clients.TYPES and not packet.response:
             self.client.take(packet)
@@ -111,15 +124,17 @@
 class GearmanServer(TCPServer):
     """Accepts connections and bounds their number."""
 
-    def __init__(self, limits: Limits, submissions: Submissions, workers: GearmanWorkers) -> None:
+    def __init__(
+        self, limits: Limits, clock: Clock, submissions: Submissions, workers: GearmanWorkers,
+    ) -> None:
         """Serve with these."""
         super().__init__(max_buffer_size=4 * limits.read)
-        self.limits, self.submissions, self.workers = limits, submissions, workers
+        self.limits, self.clock, self.submissions, self.workers = limits, clock, submissions, workers
         self.open: dict[GearmanConnection, None] = {}  # in the order they came
 
     async def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
         """Serve one connection."""
-        if len(self.open) >= self.limits.gearman_connections:
+        if len(self.open) >= self.limits.gearman_connections and not self._make_room():
             log.warning("gearman_connection_refused", open=len(self.open))
             stream.close()
             return
@@ -133,6 +148,14 @@
         finally:
             del self.open[connection]
 
+    def _make_room(self) -> bool:
+        """End the oldest connection that has said nothing, if one has had the time to."""
+        silent = next((c for c in self.open if not c.spoke), None)
+        if silent is None or self.clock.now() - silent.since < self.limits.first_byte:
+            return False
+        silent.drop()
+        return True
+
     async def finish(self) -> None:
         """Accept no more and end every connection once its answers are written."""
         self.stop()
--- a/hazellead/limits.py
+++ b/hazellead/limits.py
@@ -12,6 +12,7 @@
 
     # Sizes in bytes.
     body: int = 64 * KIB
+    buffered: int = 16 * 1024 * KIB  # of requests that have not come whole, over all connections
     unread: int = 1024 * KIB  # written to a Gearman connection and not yet taken
     worker_list: int = 1024 * KIB
     head: int = 16 * KIB
@@ -30,6 +31,7 @@
     requests: int = 1000
     backlog: int = 512  # connections that the system holds for us
     slots: int = 1024  # that one job may need
+    taken: int = 4096  # ids of requests that have ended, remembered against their reuse
     returned: int = 4096  # jobs handed back by call-back that are remembered
     group_depth: int = 16  # of an inventory's groups
     abilities: int = 256  # functions that one Gearman worker can do
@@ -40,7 +42,12 @@
     give_up: timedelta = timedelta(seconds=1)  # how long a DELETE may take
     worker_idle: timedelta = timedelta(seconds=5)  # well before the worker closes the connection itself
     client_idle: timedelta = timedelta(seconds=120)
-    client_read: timedelta = timedelta(seconds=10)  # for one request's bytes, and for taking one answer's
+    # For one request's bytes, the first counted from the connection's start. A silent or unreadable client is
+    # owed an end within 3 s; a sweep comes late by its period at most.
+    client_read: timedelta = timedelta(seconds=2)
+    client_take: timedelta = timedelta(seconds=10)  # for taking one answer's bytes
+    first_byte: timedelta = timedelta(milliseconds=100)  # after which a silent new connection can make room
+    drain_pause: timedelta = timedelta(milliseconds=10)  # between reads of what nobody wants any more
     linger: timedelta = timedelta(seconds=1)  # for a peer to read the last answer before the close
     sweep: timedelta = timedelta(milliseconds=500)  # between looks for connections to be ended
     watch: timedelta = timedelta(seconds=20)
@@ -58,12 +65,14 @@
 
     @staticmethod
     def fit(
-        sockets: int, most_held: int, connect: timedelta, worker_idle: timedelta, *, gearman: bool = False,
+        sockets: int, memory_mb: int, most_held: int, connect: timedelta, worker_idle: timedelta, *,
+        gearman: bool = False,
     ) -> "Limits":
-        """Share out the descriptors, keeping some for discovery, the log and the listener."""
-        usable = max(16, sockets - 96)
-        clients = usable * 3 // 5
+        """Share out descriptors and memory, keeping some for refusals, discovery and the log."""
+        usable = max(16, sockets - 64)
+        clients = usable * 2 // 3
         return Limits(
+            buffered=max(1, (memory_mb - 24) // 4) * 1024 * KIB,
             client_connections=clients // 2 if gearman else clients,
             gearman_connections=clients // 2 if gearman else 0,
             worker_connections=usable - clients,
--- a/hazellead/net/http.py
+++ b/hazellead/net/http.py
@@ -12,7 +12,8 @@
     501: "Not Implemented", 502: "Bad Gateway", 503: "Service Unavailable", 505: "Version Not Supported",
 }
 _TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+\Z")
-_TARGET = re.compile(r"[!-~]+\Z")
+_TARGET = re.compile(r"(?:[0-9A-Za-z._~!$&'()*+,;=:@/?-]|%[0-9A-Fa-f]{2})+\Z")  # as RFC 3986 has it
+_BEGINNING = re.compile(rb"(?:\r\n)*(?:\r?\Z|[A-Z]{1,16}(?:\Z| \Z| [/*h]))")
 _VALUE = re.compile(r"[\t -~\x80-\xff]*\Z")  # no other control characters
 
 
@@ -57,6 +58,16 @@
         """Say whether no part of a message has come."""
         return self._head is None and not self._buffer
 
+    @property
+    def size(self) -> int:
+        """Return how many bytes are held."""
+        return len(self._buffer) + len(self._body)
+
+    @property
+    def may_go_on(self) -> bool:
+        """Say whether what lies here after a request can be the beginning of another."""
+        return self._head is not None or bool(_BEGINNING.match(self._buffer))
+
     @property
     def expects_continue(self) -> bool:
         """Say whether the sender of a head waits to be told to go on."""
--- a/hazellead/net/server.py
+++ b/hazellead/net/server.py
@@ -4,6 +4,7 @@
 import socket
 from collections.abc import Callable
 from contextlib import suppress
+from datetime import timedelta
 from typing import Any
 
 import structlog
@@ -18,6 +19,8 @@
 
 log = structlog.get_logger()
 
+UNUSABLE = frozenset({400, 404, 405, 409, 413, 431})  # after these answers the connection ends
+
 
 class Exchange:
     """One request and the way to answer it. ``on_gone`` is called if the client leaves before the answer."""
@@ -45,7 +48,9 @@
         self._reading: asyncio.Future[bytes] | None = None
         self.since = server.clock.now()  # of the present state
         self.exchange: Exchange | None = None  # the request in hand
-        self.closing = self._ended = False
+        self.proven = False  # it has brought a request that could be taken
+        self.weight = 0  # bytes held for it
+        self.closing = self.lingering = self._ended = self._begun = False
 
     @property
     def idle(self) -> bool:
@@ -56,8 +61,7 @@
         """Serve until either side ends the connection."""
         try:
             while message := await self._message():
-                await self._serve(message)
-                if self.closing or not message.keep or self._server.ending:
+                if not await self._serve(message) or self.closing:
                     break
         except HttpError as error:
             await self._write(error.status, f"{error}\n".encode(), {}, keep=False)
@@ -67,6 +71,8 @@
                 if self.exchange.on_gone:
                     self.exchange.on_gone()
         finally:
+            self.lingering = True
+            self._weigh(0)
             if not self._stream.closed():
                 await close_gently(self._stream, self._server.limits, self._reading)
 
@@ -76,16 +82,23 @@
         while (message := self._parser.next()) is None:
             if self.closing and self._parser.empty:
                 return None
+            if not self._begun and not self._parser.empty:
+                # Guards against one that drips: the time for a request runs from its first byte, and that for
+                # the first request from the connection's start. Empty lines are no beginning.
+                self._begun = True
+                self.since = self._server.clock.now() if self.proven else self.since
             if self._parser.expects_continue and not continued:
                 continued = True
                 await self._stream.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-            was_idle = self.idle
             await self._read()
             if self._ended:
                 # Guards against posting twice: a client whose request crosses the close sends it once more.
                 return None
-            if was_idle:
-                self.since = self._server.clock.now()
+        self._begun = False
+        self._weigh(self._parser.size)
+        if not self._parser.may_go_on:
+            # Guards against a length that is too small: what was cut short must not run as if it were whole.
+            raise HttpError(400, "bytes after the request that begin no other")
         return message
 
     async def _read(self) -> None:
@@ -93,11 +106,17 @@
         data = await self._reading
         self._reading = None
         self._parser.feed(data)
+        self._weigh(self._parser.size)
 
     def _begin_read(self) -> asyncio.Future[bytes]:
         return asyncio.ensure_future(self._stream.read_bytes(self._server.limits.read, partial=True))
 
-    async def _serve(self, message: Message) -> None:
+    def _weigh(self, size: int) -> None:
+        self._server.holds(self, size - self.weight)
+        self.weight = size
+
+    async def _serve(self, message: Message) -> bool:
+        """Have a request answered; say whether the connection may carry another."""
         self.exchange = exchange = Exchange(message)
         self._server.handler(exchange)
         # Reading goes on so that a client's leaving is noticed, but not past what one connection may hold.
@@ -109,8 +128,10 @@
                 await self._read()
         status, body, headers = await exchange.answer
         self.exchange = None
-        keep = message.keep and not self.closing and not self._server.ending
+        keep = message.keep and not self.closing and not self._server.ending and status not in UNUSABLE
+        self.proven = self.proven or status not in UNUSABLE
         await self._write(status, body, headers, keep=keep)
+        return keep
 
     async def _write(self, status: int, body: bytes, headers: dict[str, str], *, keep: bool) -> None:
         self.since = self._server.clock.now()
@@ -120,6 +141,30 @@
             self.closing = True
         self.since = self._server.clock.now()
 
+    @property
+    def patience(self) -> timedelta:
+        """Return how long the present state may last while no request is in hand."""
+        limits = self._server.limits
+        if self._stream.writing():
+            return limits.client_take
+        return limits.client_idle if self.idle and self.proven else limits.client_read
+
+    def gives_way(self, age: timedelta) -> int | None:
+        """Return how early its place goes to a new connection, if at all, when its state is so old.
+
+        Guards the usual clients' room: first those that have had their answer, next those that connected and
+        say nothing, then those between requests, last those slow to send. A usual client's new connection
+        brings its first byte at once, and is not to be closed unanswered.
+        """
+        limits = self._server.limits
+        if self.exchange or self._stream.writing():
+            return None
+        if self.lingering:
+            return 0
+        if self.idle:
+            return 2 if self.proven else 1 if age >= limits.first_byte else None
+        return 3 if age >= limits.linger else None
+
     def close_when_idle(self) -> None:
         """End the connection, after the answer if a request is in hand or on its way."""
         self.closing = True
@@ -128,13 +173,16 @@
             with suppress(OSError):
                 self._stream.socket.shutdown(socket.SHUT_WR)
 
-    def abort(self) -> None:
-        """End the connection at once."""
+    def turn_away(self, status: int, why: str, headers: dict[str, str] | None = None) -> None:
+        """End the connection at once, with an answer if a part of a request has come."""
+        if not self._parser.empty and not self.lingering:
+            with suppress(StreamClosedError):
+                self._stream.write(response(status, f"{why}\n".encode(), keep=False, headers=headers))
         self._stream.close()
 
 
 class HttpServer(TCPServer):
-    """Accepts connections and bounds their number and their slowness."""
+    """Accepts connections and bounds their number, their slowness and what they hold."""
 
     def __init__(self, limits: Limits, clock: Clock, handler: Callable[[Exchange], None]) -> None:
         """Hand every request to ``handler``."""
@@ -142,6 +190,8 @@
         self.limits, self.clock, self.handler = limits, clock, handler
         self.connections: set[Connection] = set()
         self._refused = 0  # turned away, with their answer on its way
+        self._held = 0  # bytes of requests that have not come whole
+        self._retry = {"Retry-After": f"{limits.busy_retry.total_seconds():.3f}"}
         self.ending = False  # every answer ends its connection, so that clients go elsewhere
         self._sweeper = PeriodicCallback(self.sweep, limits.sweep)
         self._sweeper.start()
@@ -161,41 +211,56 @@
             self.connections.discard(connection)
 
     def _make_room(self) -> bool:
-        """End the connection that has been idle longest, or else the slowest to send its request."""
-        slow = self.clock.now() - self.limits.linger
-        ends = [c for c in self.connections if not c.closing and c.exchange is None and (
-            c.idle or c.since < slow)]
+        """End one connection that can be spared."""
+        now = self.clock.now()
+        ranks = ((c.gives_way(now - c.since), c) for c in self.connections)
+        ends = [(rank, c.since, c) for rank, c in ranks if rank is not None]
         if ends:
-            victim = min(ends, key=lambda c: (not c.idle, c.since))
-            victim.abort()
+            victim = min(ends, key=lambda end: end[:2])[2]
+            victim.turn_away(408, "too slow while others wait")
             self.connections.discard(victim)
         return bool(ends)
 
+    def holds(self, connection: Connection, more: int) -> None:
+        """Count what is held for requests that have not come whole; over the bound the heaviest goes.
+
+        Guards memory against many that each send all but the end of a large request.
+        """
+        self._held += more
+        if more > 0 and self._held > self.limits.buffered:
+            heavy = [c for c in self.connections if not (c.exchange or c.lingering or c is connection)]
+            victim = max(heavy, key=lambda c: c.weight, default=connection)
+            log.warning("buffers_full", held=self._held)
+            victim.turn_away(503, "no room for a request that is slow to come", self._retry)
+
     async def _refuse(self, stream: IOStream) -> None:
         """Turn a connection away.
 
         Guards against losing a request that may already be written to it: it is answered, and the answer
-        says that trying again is harmless. Past the room for such answers it is closed.
+        says that trying again is harmless. Past the room for such answers it is closed without a wait.
         """
-        if self._refused < self.limits.refusals:
-            self._refused += 1
-            try:
-                retry = {"Retry-After": f"{self.limits.busy_retry.total_seconds():.3f}"}
-                await stream.write(response(503, keep=False, headers=retry))
-                await close_gently(stream, self.limits)
-            except StreamClosedError:
-                pass
-            finally:
-                self._refused -= 1
+        answer = response(503, keep=False, headers=self._retry)
+        with suppress(StreamClosedError, OSError):
+            if self._refused < self.limits.refusals:
+                self._refused += 1
+                try:
+                    await stream.write(answer)
+                    await close_gently(stream, self.limits)
+                finally:
+                    self._refused -= 1
+            else:
+                # What has come is taken first, since a close with unread bytes would undo the answer.
+                with suppress(BlockingIOError):
+                    stream.socket.recv(self.limits.read, socket.MSG_DONTWAIT)
+                stream.write(answer)
         stream.close()
 
     def sweep(self) -> None:
         """End connections that idle too long, or are too slow to send a request or take an answer."""
         now = self.clock.now()
         for c in list(self.connections):
-            if c.exchange is None:
-                if now - c.since > (self.limits.client_idle if c.idle else self.limits.client_read):
-                    c.abort()
+            if c.exchange is None and not c.lingering and now - c.since > c.patience:
+                c.turn_away(408, "the request did not come whole in time")
 
     def close_idle(self) -> None:
         """End the connections that carry nothing, and the others after their answers."""
@@ -211,4 +276,4 @@
         while self.connections and self.clock.now() < by:
             await asyncio.sleep(0.01)
         for c in list(self.connections):
-            c.abort()
+            c.turn_away(503, "stopping")
--- a/hazellead/net/streams.py
+++ b/hazellead/net/streams.py
@@ -65,6 +65,8 @@
             while True:
                 await (reading or stream.read_bytes(limits.read, partial=True))
                 reading = None
+                # Guards the processor against one that goes on sending at full speed what nobody wants.
+                await asyncio.sleep(limits.drain_pause.total_seconds())
     except (StreamClosedError, OSError, TimeoutError):
         pass
     finally:
--- a/hazellead/platform/clients.py
+++ b/hazellead/platform/clients.py
@@ -110,6 +110,8 @@
         identity = headers.get("x-trace-id", "")
         if not _ID.match(identity):
             raise BadRequestError(400, "X-Trace-Id is missing or malformed")
+        if self._scheduler.has_taken(identity):
+            raise BadRequestError(409, "X-Trace-Id has been used")
         tenant = place(self._names.tenants, headers.get("x-customer", "")) if self._names.tenants else 0
         if tenant < 0:
             raise BadRequestError(400, "X-Customer is missing or unknown")
--- a/hazellead/platform/config.py
+++ b/hazellead/platform/config.py
@@ -104,7 +104,7 @@
 
 
 def fit_limits(
-    settings: Settings, table: Mapping[str, str], sockets: int, *, gearman: bool = False,
+    settings: Settings, table: Mapping[str, str], sockets: int, memory_mb: int, *, gearman: bool = False,
 ) -> Limits:
     """Fill the limits in from what the deployment allows."""
     try:
@@ -112,7 +112,7 @@
     except ValueError:
         raise ConfigError("settings: bad setting: caps.mostHeld") from None
     connect, idle = span(settings.connect_timeout_us), span(settings.conn_idle_us)
-    return Limits.fit(sockets, held, connect, idle, gearman=gearman)
+    return Limits.fit(sockets, memory_mb, held, connect, idle, gearman=gearman)
 
 
 def load(environment: Mapping[str, str] = os.environ) -> Config:
@@ -141,11 +141,12 @@
     if not isinstance(limits, dict) or not isinstance(known, dict):
         raise ConfigError(f"{path}: limits and known are objects")
     try:
-        sockets, seed = int(limits.get("sockets", 1024)), int(str(given.get("seed", "0")), 16)
+        sockets, memory_mb = int(limits.get("sockets", 1024)), int(limits.get("memory_mb", 192))
+        seed = int(str(given.get("seed", "0")), 16)
     except (TypeError, ValueError):
-        raise ConfigError(f"{path}: limits.sockets is a number and seed a hexadecimal one") from None
+        raise ConfigError(f"{path}: limits are numbers and seed a hexadecimal one") from None
     discovery = given.get("discovery") or environment.get("GW_DISCOVERY")
-    fit = fit_limits(settings, table, sockets, gearman=gearman)
+    fit = fit_limits(settings, table, sockets, memory_mb, gearman=gearman)
     # The module is told how long connections are kept here, so that what it thinks of them holds.
     settings = replace(settings, conn_idle_us=to_us(fit.worker_idle))
     return Config(
--- a/hazellead/platform/workers.py
+++ b/hazellead/platform/workers.py
@@ -121,6 +121,7 @@
         self._out: dict[tuple[str, str], Attempt] = {}  # by job's id and worker's name
         self.tasks: dict[Attempt, asyncio.Task[None]] = {}  # those whose 202 is still awaited
         self._others: set[asyncio.Task[None]] = set()
+        self._rejecting: set[str] = set()  # workers whose last answer was that a job is unusable
         self._returned: OrderedDict[tuple[str, str], None] = OrderedDict()
 
     def send(self, attempt: Attempt) -> None:
@@ -212,6 +213,15 @@
         else:
             stream.close()
         if message.status == 202:
+            self._rejecting.discard(place.uid)
+            return
+        if 400 <= message.status < 500 and place.uid not in self._rejecting:
+            # Guards a sound worker's name against a client that sends what no worker can use: the job fails
+            # and teaches nothing. Guards jobs against a worker that rejects all: the next one in a row does.
+            self._rejecting.add(place.uid)
+            log.warning("worker_rejected_job", worker=place.uid, status=message.status,
+                        job=attempt.job.identity)
+            self._end(attempt, Outcome.CANCELLED)
             return
         never = message.status in (503, 504) and message.headers.get("x-never-ran") == "1"
         if not never and message.status != 500:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from contextlib import asynccontextmanager, suppress
+from dataclasses import replace
 from datetime import UTC, datetime, timedelta
 from pathlib import Path
 from typing import Any, TypeVar
@@ -102,7 +103,7 @@
 class Running:
     """A scheduler with the Gearman front, set up by the operator's sample file."""
 
-    def __init__(self, folder: Path, inventory: str, deadline: int = 5000) -> None:
+    def __init__(self, folder: Path, inventory: str, deadline: int = 5000, **limits: Any) -> None:
         self.inventory, operators = folder / "inventory.csv", folder / "gearman.toml"
         self.inventory.write_text("name,address,protocol,zone,model,state\n" + inventory)
         self.http, self.port = free_port(), free_port()
@@ -113,6 +114,7 @@
             text = text.replace(old, new)
         operators.write_text(text)
         given = gearman_config.load(operators, {})
+        given = replace(given, base=replace(given.base, limits=replace(given.base.limits, **limits)))
         self.program = Program(given.base, given)
 
     def rewrite(self, inventory: str) -> None:
@@ -120,9 +122,11 @@
 
 
 @asynccontextmanager
-async def scheduler(folder: Path, inventory: str, deadline: int = 5000) -> AsyncIterator[Running]:
+async def scheduler(
+    folder: Path, inventory: str, deadline: int = 5000, **limits: Any,
+) -> AsyncIterator[Running]:
     """Run a program with the Gearman front."""
-    running = Running(folder, inventory, deadline)
+    running = Running(folder, inventory, deadline, **limits)
     try:
         yield running
     finally:
--- a/tests/test_gearman_front.py
+++ b/tests/test_gearman_front.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import Counter
+from datetime import timedelta
 from pathlib import Path
 
 import pytest
@@ -342,3 +343,37 @@
     run(case())
 
 
+
+
+@pytest.mark.parametrize(("first", "drip"), [(b"", b""), (b"\0RE", b""), (b"", b"a"), (b"version\n", b"a")])
+def test_one_that_says_nothing_whole_is_ended_in_time(tmp_path: Path, first: bytes, drip: bytes) -> None:
+    async def case() -> None:
+        async with scheduler(tmp_path, ONE, client_read=timedelta(seconds=0.2)) as s:
+            resting = await GearmanPeer.connect(s.port)
+            resting.send(Type.ECHO_REQ, b"x")
+            await resting.packet()
+            peer = await GearmanPeer.connect(s.port)
+            peer.writer.write(first)
+            ended = asyncio.ensure_future(peer.reader.read())
+            for _ in range(25):
+                peer.writer.write(drip)
+                await asyncio.sleep(0.02)
+            assert ended.done()
+            resting.send(Type.ECHO_REQ, b"y")  # one that has spoken may rest
+            assert (await resting.packet()).args == (b"y",)
+
+    run(case())
+
+
+def test_the_silent_make_room_for_those_who_speak(tmp_path: Path) -> None:
+    async def case() -> None:
+        async with scheduler(tmp_path, ONE, gearman_connections=1, first_byte=timedelta(0)) as s:
+            silent = await GearmanPeer.connect(s.port)
+            peer = await GearmanPeer.connect(s.port)
+            peer.send(Type.ECHO_REQ, b"x")
+            assert (await peer.packet()).args == (b"x",)
+            assert await silent.reader.read() == b""
+            refused = await GearmanPeer.connect(s.port)
+            assert await refused.reader.read() == b""
+
+    run(case())
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -50,6 +50,7 @@
 
 @pytest.mark.parametrize(("data", "status"), [
     (b"GET\r\n\r\n", 400), (b"GET / HTTP/2.0\r\n\r\n", 505), (b"G@T / HTTP/1.1\r\n\r\n", 400),
+    (b"GET /<a> HTTP/1.1\r\n\r\n", 400), (b"GET /%4 HTTP/1.1\r\n\r\n", 400),
     (b"GET /\x01 HTTP/1.1\r\n\r\n", 400), (b"GET / HTTP/1.1\r\nA b\r\n\r\n", 400),
     (b"GET / HTTP/1.1\r\nA : b\r\n\r\n", 400), (b"GET / HTTP/1.1\r\nA: b\r\n c\r\n\r\n", 400),
     (b"GET / HTTP/1.1\r\n" + b"A: b\r\n" * 5 + b"\r\n", 431), (b"GET /" + b"a" * 300, 431),
@@ -71,6 +72,15 @@
     assert error.value.status == status
 
 
+@pytest.mark.parametrize(("rest", "good"), [
+    (b"", True), (b"\r\n\r", True), (b"PO", True), (b"\r\nGET /", True), (b"POST http", True),
+    (b'"}', False), (b"a", False), (b"POST  ", False), (b"A" * 17, False), (b"\n", False)])
+def test_bytes_after_a_request_begin_another_or_show_a_wrong_length(rest: bytes, good: bool) -> None:
+    parser = Parser(LIMITS)
+    parser.feed(request("POST", "/a", "b", None, b"body") + rest)
+    assert parser.next() and parser.may_go_on is good
+
+
 def test_a_connection_is_kept_as_its_version_and_headers_say() -> None:
     for head, keep in (("GET / HTTP/1.1", True), ("GET / HTTP/1.0", False),
                        ("GET / HTTP/1.1\r\nConnection: x, Close", False),
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -143,6 +143,24 @@
     run(case())
 
 
+def test_an_id_that_is_open_or_has_ended_is_not_taken_again(tmp_path: Path) -> None:
+    async def case() -> None:
+        port, count = free_port(), Counter[bytes]()
+        worker = HttpWorker("s-1", count, lambda: port)
+        worker.states = [{"state": "started"}]
+        async with worker.serving(), program(tmp_path, port, worker):
+            first = asyncio.ensure_future(http_post(port, "/post-payment", b"a", HEADERS.format("1")))
+            await until(lambda: count[b"a"])
+            for _ in range(2):
+                status, headers, _ = await http_post(port, "/post-payment", b"b", HEADERS.format("1"))
+                assert status == 409 and headers["connection"] == "close"
+                await worker.call_back("1", state="done", result="r")
+                assert (await first)[::2] == (200, b"r")
+            assert set(count) == {b"a"}
+
+    run(case())
+
+
 def test_what_is_not_a_job_is_answered_with_its_status(tmp_path: Path) -> None:
     async def case() -> None:
         port = free_port()
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 from datetime import timedelta
 from typing import Any
 
@@ -101,6 +102,10 @@
     return got
 
 
+async def get_ok(port: int) -> bool:
+    return (await raw(port, request("GET", "/a", "b", {"Connection": "close"}))).endswith(b"ok")
+
+
 def serving(limits: Limits) -> tuple[HttpServer, int]:
     server = HttpServer(limits, Clock(), lambda exchange: exchange.respond(200, b"ok"))
     server.listen(port := free_port(), "127.0.0.1")
@@ -108,7 +113,8 @@
 
 
 @pytest.mark.parametrize(("data", "status"), [
-    (b"GET / HTTP/9\r\n\r\n", b"400"), (b"GET /" + b"a" * 20000, b"431"),
+    (b"GET / HTTP/9\r\n\r\n", b"400"), (request("POST", "/a", "b", None, b"ab") + b"cd", b"400"),
+    (b"GET /" + b"a" * 20000, b"431"),
     (b"POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n" + b"a" * 1001, b"413")])
 def test_a_bad_request_is_answered_whole_before_the_connection_ends(data: bytes, status: bytes) -> None:
     async def case() -> None:
@@ -120,6 +126,77 @@
     run(case())
 
 
+@pytest.mark.parametrize(("first", "drip", "answer"), [
+    (b"", b"", b""), (b"", b"\r\n", b""), (b"GET / HT", b"", b"HTTP/1.1 408"),
+    (b"GET / HTTP/1.1\r\n", b"A: b\r\n", b"HTTP/1.1 408"),
+    (b"POST / HTTP/1.1\r\nContent-Length: 900\r\n\r\n", b"a", b"HTTP/1.1 408"),
+    (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", b"1\r\na\r\n", b"HTTP/1.1 408"),
+    (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", b"A: b\r\n", b"HTTP/1.1 408")])
+@pytest.mark.parametrize("asked", [False, True])
+def test_a_request_that_never_comes_whole_is_ended_in_time(
+    first: bytes, drip: bytes, answer: bytes, asked: bool,
+) -> None:
+    """Whatever drips meanwhile. Between requests a connection may rest, but not be kept by empty lines."""
+    async def case() -> None:
+        server, port = serving(Limits(client_read=timedelta(seconds=0.2), client_idle=timedelta(seconds=0.4),
+                                      sweep=timedelta(seconds=0.05)))
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        if asked:
+            writer.write(request("GET", "/a", "b"))
+            assert (await http_message(reader))[2] == b"ok"
+        begun = time.monotonic()
+        writer.write(first)
+        ended = asyncio.ensure_future(reader.read())
+        while not ended.done():
+            writer.write(drip)
+            await asyncio.sleep(0.02)
+        assert (await ended)[:12] == answer
+        assert time.monotonic() - begun < (0.7 if asked and not first else 0.5)
+        writer.close()
+        await server.finish()
+
+    run(case())
+
+
+def test_unfinished_requests_are_bounded_by_their_bytes() -> None:
+    async def case() -> None:
+        server, port = serving(Limits(buffered=50_000, client_read=timedelta(days=1)))
+        head = b"POST / HTTP/1.1\r\nContent-Length: 60000\r\n\r\n"
+        ends = [await asyncio.open_connection("127.0.0.1", port) for _ in range(3)]
+        for (_, writer), size in zip(ends, (30_000, 1_000, 25_000), strict=True):
+            writer.write(head + b"a" * size)
+            await until(lambda size=size: any(c.weight >= size for c in server.connections))
+        assert (await ends[0][0].read()).startswith(b"HTTP/1.1 503")  # the heaviest but for the newest
+        assert await get_ok(port)
+        assert sorted(c.weight > 2_000 for c in server.connections if c.weight) == [False, True]
+        for _, writer in ends:
+            writer.close()
+        await server.finish()
+
+    run(case())
+
+
+def test_room_is_made_by_those_who_miss_least() -> None:
+    async def case() -> None:
+        limits = Limits(client_connections=3, first_byte=timedelta(0), linger=timedelta(0))
+        server, port = serving(limits)
+        got = {}
+        for name, data in (("slow", b"GET"), ("kept", request("GET", "/a", "b")), ("silent", b"")):
+            got[name] = reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(data)
+            if name == "kept":
+                assert (await http_message(reader))[2] == b"ok"
+            await until(lambda: len(server.connections) == len(got) and sum(
+                not c.idle for c in server.connections) == 1)
+        for name, end in (("silent", b""), ("kept", b""), ("slow", b"HTTP/1.1 408")):
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"GET")
+            assert (await got[name][0].read())[:12] == end
+        await server.finish()
+
+    run(case())
+
+
 def test_one_that_waits_for_leave_to_send_its_body_gets_it() -> None:
     async def case() -> None:
         server, port = serving(QUICK)
@@ -137,7 +214,8 @@
 def test_connections_are_bounded_in_number_and_slowness() -> None:
     async def case() -> None:
         server, port = serving(
-            Limits(client_connections=1, client_read=timedelta(0), linger=timedelta(days=1)))
+            Limits(client_connections=1, client_read=timedelta(0), linger=timedelta(days=1),
+                   first_byte=timedelta(0), sweep=timedelta(days=1)))
         _, idle = await asyncio.open_connection("127.0.0.1", port)
         await until(lambda: any(c.idle for c in server.connections))
         reader, slow = await asyncio.open_connection("127.0.0.1", port)  # the idle one makes room
@@ -148,7 +226,7 @@
         assert first.startswith("HTTP/1.1 503") and float(headers["retry-after"]) > 0
         refused.close()
         server.sweep()
-        assert await reader.read() == b""
+        assert (await reader.read()).startswith(b"HTTP/1.1 408")
         idle.close()
         slow.close()
         server.stop()
@@ -164,7 +242,7 @@
         await until(lambda: any(not c.idle for c in server.connections))
         new, writer = await asyncio.open_connection("127.0.0.1", port)
         writer.write(request("GET", "/a", "b"))
-        assert (await http_message(new))[2] == b"ok" and await reader.read() == b""
+        assert (await http_message(new))[2] == b"ok" and (await reader.read()).startswith(b"HTTP/1.1 408")
         writer.close()
         slow.close()
         await server.finish()
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -19,7 +19,7 @@
 ACCEPTED = b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
 STATES = {"done": Outcome.SERVED, "failed": Outcome.ERROR, "returned": Outcome.FULL, "lost": Outcome.RESET}
 ANSWERS = {b"503\r\nX-Never-Ran: 1": Outcome.FULL, b"504\r\nX-Never-Ran: 1": Outcome.FULL,
-           b"503": Outcome.ERROR, b"504": Outcome.ERROR, b"500": Outcome.ERROR, b"404": Outcome.ERROR,
+           b"503": Outcome.ERROR, b"504": Outcome.ERROR, b"500": Outcome.ERROR, b"404": Outcome.CANCELLED,
            b"202": None, b"": Outcome.RESET}
 
 
@@ -103,6 +103,23 @@
     run(case())
 
 
+def test_a_worker_is_blamed_for_rejecting_jobs_only_if_it_rejects_the_next_one_too() -> None:
+    async def case() -> None:
+        core, worker = Core(), HttpWorker("s-1", Counter(), lambda: 0)
+        worker.states = []
+        accepted = worker.reply
+        async with worker.serving():
+            workers = transport(worker.port)
+            for number, reply in enumerate((b"400", b"202", b"400", b"404")):
+                bad = b"HTTP/1.1 %s X\r\nContent-Length: 0\r\n\r\n" % reply
+                worker.reply = accepted if reply == b"202" else bad
+                workers.send(attempt := core.attempt(number))
+                await until(lambda a=attempt: a not in workers.tasks)
+        assert [o for o, _ in core.ended] == [Outcome.CANCELLED, Outcome.CANCELLED, Outcome.ERROR]
+
+    run(case())
+
+
 def test_what_is_never_sent_never_ran() -> None:
     async def case() -> None:
         core, sent = Core(), Counter[bytes]()
