Take a first broken connection for chance, not for a restarted worker

A probe on the transport: 63 breaks, nearly all within 2 ms of the send, on kept connections idle for 0 to 0.5 s and on new ones alike; 131 idle connections closed by workers. So neither idle age nor the peek before reuse is at fault for most. At fault: choice.py _learn took each RESET for a restart with no word of it, which makes the worker cold for 24 s, and added doubt over TRUST, so one break in 40 jobs closed the fleet. Now the first break since a worker last served adds doubt below TRUST; the second does what each did.

--- a/hazellead/choice.py
+++ b/hazellead/choice.py
@@ -28,6 +28,7 @@
 LEARN = 0.1  # weight of the newest observation in running averages
 PATIENCE = 4.0  # mean run times of unanswered work after which a worker is silent, or an attempt overdue
 TRUST = 0.25  # doubt from which a worker gets trial jobs only; a served job halves it, a failure then adds 1
+SLIP = 0.15  # doubt that a first broken connection adds; it stays under TRUST
 COLD_SAFETY = 0.6  # part of a cold worker's budget that is used
 CHANCE = 1.5  # standard deviations kept free in it, since dispatchers draw their parts apart
 COPY_SHARE = 0.1  # second copies allowed for each first push
@@ -525,8 +526,11 @@
             tenant.erring += LEARN * ((outcome is api.Outcome.ERROR) - tenant.erring)
         if outcome in api.FAULTS and not self._theirs(attempt):
             self.strangers += not w.known
-            w.blame = w.blame / 2 + 1
-            if outcome is api.Outcome.RESET:  # it may have restarted with no word of it
+            # One broken connection is chance. What breaks again before it has served may be down, or may have
+            # restarted with no word of it.
+            chance = outcome is api.Outcome.RESET and not w.failures
+            w.blame = w.blame / 2 + (SLIP if chance else 1)
+            if outcome is api.Outcome.RESET and not chance:
                 w.cold_since, w.drawn_until = self.now, 0
             w.failures, w.next_trial = w.failures + 1, self.now + int(run) * 2 ** min(w.failures, 4)
         if outcome is not api.Outcome.SERVED:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -841,6 +841,28 @@
     assert 1 <= at_sick <= 30
 
 
+def test_broken_connections_here_and_there_neither_shut_workers_nor_make_them_cold() -> None:
+    """35 resets over 8 workers made all of them count as just restarted, and half the jobs were refused."""
+    referee = Referee(replace(SILENT, dispatchers=1, warm_up_us=24_000_000))
+    referee.play(fleet(4))
+    serve_some(referee, 30)
+    first = set[int]()
+    for number in range(100, 160):  # one in ten breaks; the others are served
+        (push,) = pushes(referee.play(api.Arrival(number, 2, 5_000_000), after_us=50_000))
+        referee.play(after_us=30_000)
+        broken = number % 10 == 0 and push.worker not in first
+        first |= {push.worker} if broken else set()
+        referee.end(number, 0, api.Outcome.RESET if broken else api.Outcome.SERVED)
+    workers = referee.dispatcher.workers
+    assert len(first) > 2 and all(w.cold_since == 0 for w in workers.values())
+    for number in (200, 201):  # twice in a row there, with nothing served between: it may have restarted
+        referee.play(api.Arrival(number, 2, 5_000_000), after_us=50_000)
+        target = referee.books[number].sent[0].worker
+        workers[target].failures = number - 200
+        referee.end(number, 0, api.Outcome.RESET)
+        assert (workers[target].cold_since > 0) is (number == 201)
+
+
 def test_resets_at_once_over_idle_connections_shorten_how_long_they_may_idle() -> None:
     """A fifth of all attempts was reset within a millisecond, none of them over a new connection."""
     referee = Referee(replace(SILENT, conn_idle_us=15_000_000))
