Cancel what a leaving client asked for, and stop waiting for silent workers after 1 s

At fault: choice.py handled Abandoned by forgetting the request only; workers.py _carry waited for the 202 up to the deadline. Ruled out: workers' own silence, since other connections to the same workers answered meanwhile. Now Abandoned cancels what is out where the settings allow it, and an attempt of which nothing at all was heard for 1 s ends as timed out. One that was reported on is left alone: closing its connection would stop the job.

--- a/hazellead/choice.py
+++ b/hazellead/choice.py
@@ -131,7 +131,7 @@
         self.takes: dict[type, Callable[[Any], None]] = {
             api.Arrival: self._arrive, api.AttemptEnded: self._ended, api.JobBegan: self._began,
             api.ProbeEnded: self._probed, api.WorkerList: self._listed,
-            api.Abandoned: lambda event: self._drop(event.request)}
+            api.Abandoned: self._abandoned}
 
     def handle(self, now_us: int, events: Sequence[api.Event]) -> list[api.Action]:
         """Take in what happened and return what to do, in order."""
@@ -590,6 +590,12 @@
         self.out.append(api.Fail(r.id) if r.tied() else api.Refuse(r.id, int(wait)))
         self._drop(r.id)
 
+    def _abandoned(self, event: api.Abandoned) -> None:  # work that nobody waits for is wasted
+        attempts = r.attempts if (r := self.requests.get(event.request)) else []
+        if self.settings.may_cancel:
+            self.out += [api.Cancel(event.request, n) for n, a in enumerate(attempts) if not a.outcome]
+        self._drop(event.request)
+
     def _drop(self, request: int) -> None:
         if (r := self.requests.pop(request, None)) and self._unqueue(r):
             self.tenants[r.tenant].throttle.add(r.slots)
--- a/hazellead/core/jobs.py
+++ b/hazellead/core/jobs.py
@@ -48,7 +48,7 @@
 class Attempt:
     """One push. A transport reports on it here; the first end counts and all later reports are dropped."""
 
-    __slots__ = ("_host", "job", "number", "outcome", "request", "sent", "until", "worker")
+    __slots__ = ("_host", "heard", "job", "number", "outcome", "request", "sent", "until", "worker")
 
     def __init__(
         self, host: "AttemptHost", request: int, number: int, worker: int, job: Job,
@@ -58,6 +58,7 @@
         self._host, self.request, self.number, self.worker, self.job = host, request, number, worker, job
         self.sent, self.until = sent, until
         self.outcome: api.Outcome | None = None
+        self.heard = False  # its worker has reported on it
 
     def may_send(self) -> bool:
         """Say whether its first byte may go out now.
--- a/hazellead/core/scheduler.py
+++ b/hazellead/core/scheduler.py
@@ -88,7 +88,7 @@
         return self._count
 
     def abandon(self, number: int) -> None:
-        """Note that the client has gone; an attempt that is out goes on, as the module hears its end."""
+        """Note that the client has gone; the module decides what becomes of an attempt that is out."""
         request = self._requests.get(number)
         if request and request.reply:
             request.reply = None
@@ -136,7 +136,7 @@
         if attempt.outcome is api.Outcome.SERVED and request.reply:
             reply, request.reply = request.reply, None
             reply.served(result)
-        elif attempt.outcome not in (api.Outcome.SERVED, api.Outcome.FULL):
+        elif attempt.outcome not in (api.Outcome.SERVED, api.Outcome.FULL, api.Outcome.CANCELLED):
             log.info("attempt_failed", job=attempt.job.identity, worker=self._directory.name(attempt.worker),
                      attempt=attempt.number, outcome=attempt.outcome.value,
                      spent=(self._clock.now() - attempt.sent).total_seconds())
--- a/hazellead/limits.py
+++ b/hazellead/limits.py
@@ -38,6 +38,7 @@
     # How long before the client's deadline the scheduler stops waiting, so that its answer still arrives.
     answer_margin: timedelta = timedelta(milliseconds=25)
     connect: timedelta = timedelta(milliseconds=250)
+    accept: timedelta = timedelta(seconds=1)  # for a worker to take a job or to report on it
     probe: timedelta = timedelta(milliseconds=500)
     give_up: timedelta = timedelta(seconds=1)  # how long a DELETE may take
     worker_idle: timedelta = timedelta(seconds=5)  # well before the worker closes the connection itself
--- a/hazellead/platform/workers.py
+++ b/hazellead/platform/workers.py
@@ -4,7 +4,7 @@
 from collections import OrderedDict, defaultdict
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
-from datetime import datetime
+from datetime import datetime, timedelta
 from typing import Any, Protocol
 
 import structlog
@@ -163,6 +163,7 @@
         attempt = self._out.get((identity, sender))
         if attempt is None or attempt.outcome:
             return
+        attempt.heard = True
         if state == "started":
             attempt.began()
         elif state == "running":
@@ -196,17 +197,17 @@
                 {"X-Trace-Id": attempt.job.identity, "X-Expires-In": f"{left}u"}, attempt.job.body))
             await writing
             written = True
-            # Guards against a 202 that never follows a call-back which ended the attempt long ago.
-            over = attempt.until - self._clock.now() + self._limits.give_up
-            message = await streams.within(over, read_response(stream, self._limits))
+            message = await self._answer(stream, attempt)
         except asyncio.CancelledError:
             if stream:
                 stream.close()
             raise
-        except (StreamClosedError, TimeoutError, http.HttpError, ValueError):
+        except (StreamClosedError, TimeoutError, http.HttpError, ValueError) as error:
             if stream:
                 stream.close()
-            self._end(attempt, Outcome.RESET if written else Outcome.CONNECT_FAILED)
+            late = written and isinstance(error, TimeoutError)
+            unknown = Outcome.TIMED_OUT if late else Outcome.RESET
+            self._end(attempt, unknown if written else Outcome.CONNECT_FAILED)
             return
         if message.keep:
             self.pool.give(place, stream)
@@ -228,6 +229,22 @@
             log.warning("worker_answer_unexpected", worker=place.uid, status=message.status)
         self._end(attempt, Outcome.FULL if never else Outcome.ERROR)
 
+    async def _answer(self, stream: IOStream, attempt: Attempt) -> http.Message:
+        """Wait for the answer to an attempt, a short time only if nothing at all is heard of it.
+
+        Guards against a connection that has fallen silent: its worker would count as busy with the job up to
+        the deadline. Once a call-back has come the job runs, and to close its connection would stop it; but
+        a 202 that never follows must not keep one open long after the attempt's end either.
+        """
+        reading = asyncio.ensure_future(read_response(stream, self._limits))
+        try:
+            await asyncio.wait([reading], timeout=self._limits.accept.total_seconds())
+            if reading.done() or not attempt.heard:
+                return await streams.within(timedelta(0), reading)
+            return await streams.within(attempt.until - self._clock.now() + self._limits.give_up, reading)
+        finally:
+            reading.cancel()
+
     async def _delete(self, place: Place, identity: str) -> None:
         await self._ask(place, "DELETE", f"/jobs/{identity}", self._limits.give_up)
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -863,6 +863,15 @@
         assert (workers[target].cold_since > 0) is (number == 201)
 
 
+@pytest.mark.parametrize("may", [False, True])
+def test_what_a_client_that_left_had_asked_for_is_cancelled_where_that_is_allowed(may: bool) -> None:
+    dispatcher = Dispatcher(replace(SILENT, may_cancel=may), 1)
+    dispatcher.handle(1_000_000, [fleet(2)])
+    assert len(pushes(dispatcher.handle(1_000_000, [api.Arrival(1, 2, 5_000_000)]))) == 1
+    cancels = [a for a in dispatcher.handle(1_004_000, [api.Abandoned(1)]) if isinstance(a, api.Cancel)]
+    assert cancels == ([api.Cancel(1, 0)] if may else [])
+
+
 def test_resets_at_once_over_idle_connections_shorten_how_long_they_may_idle() -> None:
     """A fifth of all attempts was reset within a millisecond, none of them over a new connection."""
     referee = Referee(replace(SILENT, conn_idle_us=15_000_000))
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -153,6 +153,33 @@
     run(case())
 
 
+@pytest.mark.parametrize("heard", [True, False])
+def test_a_worker_that_says_nothing_at_all_is_not_waited_for_up_to_the_deadline(heard: bool) -> None:
+    async def case() -> None:
+        core, got, ended = Core(), list[str](), asyncio.Event()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            got.append((await http_message(reader))[0])
+            await reader.read()
+            ended.set()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        workers = transport(server.sockets[0].getsockname()[1], accept=timedelta(seconds=0.1))
+        workers.send(core.attempt())
+        await until(lambda: got)
+        if heard:
+            workers.call_back("77", "s-1", "started", None)
+            await asyncio.sleep(0.3)
+            assert not core.ended and not ended.is_set()  # to close would stop a job that runs
+            workers.call_back("77", "s-1", "done", "r")
+        else:
+            await ended.wait()
+        assert [o for o, _ in core.ended] == [Outcome.SERVED if heard else Outcome.TIMED_OUT]
+        server.close()
+
+    run(case())
+
+
 @pytest.mark.parametrize("accepted", [True, False])
 def test_giving_up_closes_before_the_202_and_deletes_after(accepted: bool) -> None:
     async def case() -> None:
