--- a/hazellead/__main__.py
+++ b/hazellead/__main__.py
@@ -9,6 +9,7 @@
 import signal
 import sys
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import structlog
 from tornado.ioloop import IOLoop, PeriodicCallback
@@ -16,15 +17,16 @@
 
 from hazellead.core.clock import Clock
 from hazellead.core.scheduler import Scheduler
-from hazellead.gearman import config as gearman_config
-from hazellead.gearman.assembly import GearmanFront
-from hazellead.gearman.config import GearmanConfig
 from hazellead.net.server import HttpServer
 from hazellead.platform import config
 from hazellead.platform.clients import Front
 from hazellead.platform.discovery import Watch
 from hazellead.platform.workers import HttpWorkers
 
+# The Gearman front is imported where it is used: restarts on the platform need not wait for its libraries.
+if TYPE_CHECKING:
+    from hazellead.gearman.config import GearmanConfig
+
 log = structlog.get_logger()
 
 
@@ -55,13 +57,15 @@
 class Program:
     """One scheduler and the fronts before it."""
 
-    def __init__(self, given: config.Config, operators: GearmanConfig | None) -> None:
+    def __init__(self, given: config.Config, operators: "GearmanConfig | None") -> None:
         """Put the parts together and listen."""
         self.given, self.operators = given, operators
         clock, self.limits = Clock(), given.limits
         self.scheduler = Scheduler(given.settings, given.seed, given.limits, clock, IOLoop.current())
         self.watch, self.gearman = None, None
         if operators:
+            from hazellead.gearman.assembly import GearmanFront
+
             self.gearman = GearmanFront(operators, self.scheduler, clock)
             workers = self.gearman.http
         else:
@@ -81,7 +85,7 @@
         self.front.ready = True
         log.info("ready", name=given.name, listen=f"{given.listen[0]}:{given.listen[1]}")
 
-    def reload(self, given: config.Config, operators: GearmanConfig | None) -> None:
+    def reload(self, given: config.Config, operators: "GearmanConfig | None") -> None:
         """Bring a new configuration in force, as far as that goes while jobs are under way."""
         kept = config.fixed(self.given, given)
         if operators and self.operators:
@@ -119,9 +123,11 @@
         log.info("stopped")
 
 
-def load(operators_file: str | None) -> tuple[config.Config, GearmanConfig | None]:
+def load(operators_file: str | None) -> tuple[config.Config, "GearmanConfig | None"]:
     """Read the configuration."""
     if operators_file:
+        from hazellead.gearman import config as gearman_config
+
         operators = gearman_config.load(Path(operators_file), os.environ)
         return operators.base, operators
     return config.load(os.environ), None
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -123,6 +123,12 @@
     run(case())
 
 
+def test_the_platforms_start_waits_for_none_of_the_gearman_fronts_libraries() -> None:
+    code = "import sys, hazellead.__main__; print([m for m in sys.modules if 'gearman' in m or m == 'yaml'])"
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
+    assert done.stdout.strip() == "[]"
+
+
 def test_call_backs_may_come_early_again_and_for_nothing(tmp_path: Path) -> None:
     async def case() -> None:
         port, count = free_port(), Counter[bytes]()
