--- a/hazellead/choice.py
+++ b/hazellead/choice.py
@@ -42,6 +42,7 @@
 FORGET = 12  # asking intervals after which a worker that no list named and that did not serve is forgotten
 LATE_SHARE, LATE_MOST = 0.02, 20.0  # late jobs held for each job taken in, and at once
 RUN_DOWN = 0.25  # part of a job's wait for its start over which its worker gets nothing more
+AVOID = 4  # how strongly a wait for the start, counted in mean run times, turns jobs away from a worker
 RESERVE = 2.0  # mean run times that a late job must still have before its deadline to be sent at all
 CROSS_PATIENCE = 4.0  # per point of crossing price: part of the slack waited, of attempts failing borne
 
@@ -293,7 +294,7 @@
                 if unknown:  # a job goes to a worker known to have a free slot
                     fits = [f for f in fits if self.now - f[0].changed < self.fresh]
                 if fits:
-                    weights = [free / max(self._pace(w), LEARN) ** power for w, free in fits]
+                    weights = [free / max(self._pace(w), LEARN) ** power * self._quick(w) for w, free in fits]
                     return self.rng.choices(fits, weights)[0][0]
             if unknown and self._look(pool):
                 return None
@@ -353,6 +354,10 @@
     def _pace(self, w: Worker) -> float:
         return self.kinds[w.entry.kind].value if w.entry.kind in self.kinds and not w.timed else w.pace
 
+    def _quick(self, w: Worker) -> float:
+        """Weigh a worker by how soon jobs began there: the one sign of others' jobs where none reports."""
+        return 1 / (1 + w.delay / self.mean_run) ** AVOID
+
     def _silence(self, w: Worker) -> float:  # unanswered work since a sign of serving, in mean run times
         mean = self.mean_run * min(max(w.pace, 1.0), 2.0)
         return w.silence + min(w.held, w.slots) * (self.now - w.seen) / mean
@@ -464,6 +469,7 @@
             self._touch(w)
             if not attempt.began:
                 attempt.began, w.silence = self.now, 0.0
+                w.delay += 2 * LEARN * (self.now - attempt.sent - w.delay)
                 w.unstarted.discard(key)
                 if (wait := self.now - attempt.sent) > self._slack(attempt.request.job_class):
                     self._overload(w)  # its wait alone made it late
--- a/hazellead/records.py
+++ b/hazellead/records.py
@@ -72,6 +72,7 @@
     drawn_until: int = 0
     blame: float = 0.0
     silence: float = 0.0
+    delay: float = 0.0  # how long jobs waited there for their start, the newest counting most
     failures: int = 0
     fulls: int = 0  # refusals as full since it last served
     full_until: int = 0
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -872,6 +872,19 @@
     assert cancels == ([api.Cancel(1, 0)] if may else [])
 
 
+def test_where_jobs_wait_for_their_start_fewer_are_sent() -> None:
+    referee, count = Referee(SILENT), {w: 0 for w in range(1, 5)}
+    referee.play(fleet(4))
+    serve_some(referee, 10)
+    for number in range(400):  # others' jobs keep worker 1 busy: ours begin late there, but in time
+        (push,) = pushes(referee.play(api.Arrival(number, 2, 5_000_000), after_us=4_000))
+        count[push.worker] += 1
+        referee.play(api.JobBegan(number, 0, push.worker), after_us=80_000 if push.worker == 1 else 4_000)
+        referee.play(after_us=100_000)
+        referee.end(number, 0, api.Outcome.SERVED)
+    assert 0 < count[1] < min(count[w] for w in (2, 3, 4)) / 2
+
+
 def test_resets_at_once_over_idle_connections_shorten_how_long_they_may_idle() -> None:
     """A fifth of all attempts was reset within a millisecond, none of them over a new connection."""
     referee = Referee(replace(SILENT, conn_idle_us=15_000_000))
