Wait 6 s in a discovery watch, so that one that fell silent is noticed

The log has one discovery_failed for each scheduler, a timeout, 21 s after the start: their watches had fallen silent and nothing of the release of workers from 7 s on was heard. At fault: limits.py watch, 20 s. Ruled out: the list itself, which came at once on the next call. What is missed binds 2 s after the wait ends, so a shorter wait makes that sooner too; with 7 s to notice and half a second to ask again it is heard in time. A scheduler now calls once in 6 s at least; discovery bears 2.8 a second.

--- a/hazellead/limits.py
+++ b/hazellead/limits.py
@@ -51,7 +51,7 @@
     drain_pause: timedelta = timedelta(milliseconds=10)  # between reads of what nobody wants any more
     linger: timedelta = timedelta(seconds=1)  # for a peer to read the last answer before the close
     sweep: timedelta = timedelta(milliseconds=500)  # between looks for connections to be ended
-    watch: timedelta = timedelta(seconds=20)
+    watch: timedelta = timedelta(seconds=6)  # a watch that falls silent is noticed this late
     fetch: timedelta = timedelta(seconds=2)  # for discovery to answer a call that does not wait
     watch_grace: timedelta = timedelta(seconds=1)  # past either, for the answer to arrive
     stop_accepting: timedelta = timedelta(milliseconds=700)  # after SIGTERM, for clients that don't know yet
