Let a timed-out client that goes on sending read its 408 before the close

Seen: one of 14 cases of the dripping-client test failed once in four runs with a reset in place of the 408. At fault: server.py turn_away closed at once while bytes were still on their way, and the reset undid the answer.

--- a/hazellead/net/server.py
+++ b/hazellead/net/server.py
@@ -164,6 +164,8 @@
     def patience(self) -> timedelta:
         """Return how long the present state may last while no request is in hand."""
         limits = self._server.limits
+        if self.state is State.LINGERING:
+            return limits.linger
         if self._stream.writing():
             return limits.client_take
         return limits.client_idle if self.state is State.RESTING else limits.client_read
@@ -178,10 +180,27 @@
 
     def turn_away(self, status: int, why: str, headers: dict[str, str] | None = None) -> None:
         """End the connection at once, with an answer if a part of a request has come."""
+        self._tell_off(status, why, headers)
+        self._stream.close()
+
+    def time_out(self) -> None:
+        """End the connection, leaving a client that goes on sending the time to read its answer.
+
+        Guards against the reset that a close with unread bytes brings, which would undo the answer.
+        """
+        if self.state is not State.SENDING:
+            self._stream.close()
+            return
+        self._tell_off(408, "the request did not come whole in time")
+        self.since, self._ended = self._server.clock.now(), True
+        self.turn(State.LINGERING)
+        with suppress(OSError):
+            self._stream.socket.shutdown(socket.SHUT_WR)
+
+    def _tell_off(self, status: int, why: str, headers: dict[str, str] | None = None) -> None:
         if self.state is State.SENDING:
             with suppress(StreamClosedError):
                 self._stream.write(response(status, f"{why}\n".encode(), keep=False, headers=headers))
-        self._stream.close()
 
 
 class HttpServer(TCPServer):
@@ -282,8 +301,8 @@
         """End connections that idle too long, or are too slow to send a request or take an answer."""
         now = self.clock.now()
         for c in list(self.connections):
-            if c.exchange is None and c.state is not State.LINGERING and now - c.since > c.patience:
-                c.turn_away(408, "the request did not come whole in time")
+            if c.exchange is None and now - c.since > c.patience:
+                c.time_out()
 
     def close_idle(self) -> None:
         """End the connections that carry nothing, and the others after their answers."""
