Serve on after SIGTERM while all can be answered; decisions in decide/, adapter in sim/

Need: schedulers restarted one after another left clients about a second with nowhere to go, since from SIGTERM on every answer ended its connection and 0.7 s later the scheduler refused. A front sends an ending scheduler no new connections, so usual clients only have those they hold.

Change: connections are kept and served on until what a job taken last needs (1.1 s, or the longest deadline) is left before the earliest SIGKILL; then they end between requests. Scheduler.end_by answers all by then: refused if surely nothing ran, else failed. The module keeps to the clients' own deadlines.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 build: $(VENV)/dev
 
-$(VENV)/dev: requirements.txt requirements-dev.txt
+$(VENV)/dev: requirements.txt requirements-peers.txt requirements-lab.txt requirements-dev.txt
 	python3 -m venv $(VENV)
 	$(PYTHON) -m pip -q --disable-pip-version-check install -r requirements-dev.txt
 	cp requirements.txt $(VENV)/built-from
--- a/hazellead/__main__.py
+++ b/hazellead/__main__.py
@@ -61,6 +61,7 @@
         """Put the parts together and listen."""
         self.given, self.operators = given, operators
         clock, self.limits = Clock(), given.limits
+        self.clock = clock
         self.scheduler = Scheduler(given.settings, given.seed, given.limits, clock, IOLoop.current())
         self.watch, self.gearman = None, None
         if operators:
@@ -102,11 +103,16 @@
         log.info("config_read")
 
     async def stop(self) -> None:
-        """Keep taking jobs until clients know, answer all that is held, close what is idle."""
+        """Serve on while all can still be answered in time, then answer what is held and end connections.
+
+        Clients keep the connections that they have for as long as these stay open, and a front sends no new
+        ones to a scheduler that is ending: to close early would leave them nowhere to go.
+        """
         log.info("stopping", held=self.scheduler.held)
-        self.front.ready, self.server.ending = False, True
-        await asyncio.sleep(self.limits.stop_accepting.total_seconds())
-        self.front.refusing = True
+        self.front.ready = False
+        self.scheduler.end_by(self.clock.now() + self.limits.answer_by)
+        await asyncio.sleep(self.limits.serve_on.total_seconds())
+        self.front.refusing = self.server.ending = True
         self.server.close_idle()
         if self.gearman:
             self.gearman.refuse()
--- a/hazellead/core/jobs.py
+++ b/hazellead/core/jobs.py
@@ -5,7 +5,7 @@
 from datetime import datetime, timedelta
 from typing import Protocol
 
-from hazellead import interface as api
+from hazellead.decide import interface as api
 
 
 @dataclass(slots=True, frozen=True)
--- a/hazellead/core/scheduler.py
+++ b/hazellead/core/scheduler.py
@@ -8,10 +8,10 @@
 import structlog
 from tornado.ioloop import IOLoop
 
-from hazellead import interface as api
-from hazellead.choice import Dispatcher
 from hazellead.core.clock import Clock, span, to_us
 from hazellead.core.jobs import Attempt, ClientReply, Job, WorkerDirectory, WorkerTransport
+from hazellead.decide import interface as api
+from hazellead.decide.choice import Dispatcher
 from hazellead.limits import Limits
 
 log = structlog.get_logger()
@@ -44,6 +44,7 @@
         self._tick = span(settings.tick_us)
         self._last, self._due, self._count = clock.now() - self._tick, False, 0
         self._emptied: Callable[[], None] | None = None
+        self._end: datetime | None = None  # by when all is answered, once the end has been called
         self._transport: WorkerTransport
         self._directory: WorkerDirectory
 
@@ -76,12 +77,13 @@
         if job.identity in self._identities:
             # Guards against posting twice: the same id again may concern a job that runs at this moment.
             reply.failed("this id is being worked on")
-        elif len(self._requests) >= self.limits.requests:
+        elif len(self._requests) >= self.limits.requests or self._end and self._clock.now() >= self._end:
             reply.refused(self.limits.busy_retry)
         else:
             remaining = max(job.remaining - self.limits.answer_margin, timedelta(0))
             request = _Request(self._count, job, self._clock.now() + remaining, reply)
             request.timer = self._loop.add_timeout(remaining, self._expire, request)
+            self._bound(request)
             self._requests[request.number] = request
             self._identities.add(job.identity)
             self._put(api.Arrival(request.number, job.job_class, to_us(remaining), job.tenant, job.slots))
@@ -95,6 +97,32 @@
             self._put(api.Abandoned(number))
             self._forget(request)
 
+    def end_by(self, end: datetime) -> None:
+        """Answer whatever is held or still comes by then, however much longer its client would wait."""
+        self._end = end
+        for request in self._requests.values():
+            self._bound(request)
+
+    def _bound(self, request: _Request) -> None:
+        # The module keeps to the client's own deadline: to it, less time would mark a client's later try.
+        if self._end and self._end < request.until:
+            self._loop.remove_timeout(request.timer)
+            request.until = self._end
+            request.timer = self._loop.add_timeout(self._end - self._clock.now(), self._cut, request)
+
+    def _cut(self, request: _Request) -> None:
+        """Answer a request before its deadline: refused if surely nothing of it ran, else failed."""
+        for attempt in request.attempts:
+            self._stop(attempt, api.Outcome.TIMED_OUT)
+        if request.reply:
+            reply, request.reply = request.reply, None
+            if all(a.outcome in api.NEVER_RAN for a in request.attempts):
+                reply.refused(self.limits.busy_retry)
+            else:
+                reply.failed("the scheduler ends")
+            self._put(api.Abandoned(request.number))
+        self._forget(request)
+
     # From the directory.
 
     def listed(self, event: api.WorkerList) -> None:
--- a/hazellead/choice.py
+++ b/hazellead/decide/choice.py
@@ -1,4 +1,4 @@
-"""All decisions of a hazellead dispatcher; what it is told and can do is in hazellead/interface.py.
+"""All decisions of a hazellead dispatcher; what it is told and can do is in hazellead/decide/interface.py.
 
 A request's path: its tenant's ``Throttle`` admits, holds or refuses it (``_arrive``); tokens pay for held
 jobs (``_tokens``); paid ones leave for a worker known to have a free slot (``_place``, ``_pick``, ``_free``);
@@ -13,8 +13,8 @@
 from dataclasses import replace
 from typing import Any
 
-from hazellead import interface as api
-from hazellead.records import Attempt, Mean, Request, Worker
+from hazellead.decide import interface as api
+from hazellead.decide.records import Attempt, Mean, Request, Worker
 
 HOLD = 0.5  # seconds of its own tokens in a tenant's bank (C_T), and of the slack in its buffer (C_J)
 LEAST = 3.0  # slots that a bank holds at least
--- a/hazellead/records.py
+++ b/hazellead/decide/records.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from hazellead import interface as api
+from hazellead.decide import interface as api
 
 
 @dataclass(slots=True)
--- a/hazellead/gearman/assembly.py
+++ b/hazellead/gearman/assembly.py
@@ -7,13 +7,13 @@
 from hazellead.core.clock import Clock
 from hazellead.core.jobs import Attempt, WorkerTransport
 from hazellead.core.scheduler import Scheduler
+from hazellead.decide.interface import Outcome
 from hazellead.gearman.clients import Submissions
 from hazellead.gearman.config import GearmanConfig
 from hazellead.gearman.inventory import Inventory
 from hazellead.gearman.jobs import JobTable
 from hazellead.gearman.server import GearmanServer
 from hazellead.gearman.workers import GearmanWorkers
-from hazellead.interface import Outcome
 from hazellead.platform.workers import HttpWorkers
 
 
--- a/hazellead/gearman/inventory.py
+++ b/hazellead/gearman/inventory.py
@@ -16,8 +16,8 @@
 from tornado.ioloop import PeriodicCallback
 from yaml.nodes import MappingNode, Node, ScalarNode
 
-from hazellead import interface as api
 from hazellead.core.clock import EPOCH, Clock, to_us
+from hazellead.decide import interface as api
 from hazellead.limits import Limits
 from hazellead.platform.config import ConfigError, Names, address, place
 from hazellead.platform.workers import Place
--- a/hazellead/gearman/workers.py
+++ b/hazellead/gearman/workers.py
@@ -9,8 +9,8 @@
 from tornado.ioloop import IOLoop
 
 from hazellead.core.jobs import Attempt
+from hazellead.decide.interface import Outcome
 from hazellead.gearman.packets import Packet, PacketError, Type
-from hazellead.interface import Outcome
 from hazellead.limits import Limits
 
 log = structlog.get_logger()
--- a/hazellead/limits.py
+++ b/hazellead/limits.py
@@ -4,6 +4,20 @@
 from datetime import timedelta
 
 KIB = 1024
+_LONGEST = timedelta(seconds=3)  # deadlines above it count as this much when a planned restart is timed
+_KILL = timedelta(milliseconds=700)  # past the longest deadline, the earliest that SIGKILL follows SIGTERM
+_SPARE = timedelta(milliseconds=100)  # kept before that, for the last answers to be read
+_LAST = timedelta(milliseconds=1100)  # what a job taken last is given; the longest deadline if that is less
+
+
+def _answer_by(longest: timedelta) -> timedelta:
+    """Return when the last answer goes out after SIGTERM, for classes whose longest deadline is this."""
+    return min(longest, _LONGEST) + _KILL - _SPARE
+
+
+def _serve_on(longest: timedelta) -> timedelta:
+    """Return how long jobs are taken after SIGTERM: all that leaves the last one its time."""
+    return _answer_by(longest) - min(longest, _LAST)
 
 
 @dataclass(slots=True, frozen=True)
@@ -54,7 +68,10 @@
     watch: timedelta = timedelta(seconds=6)  # a watch that falls silent is noticed this late
     fetch: timedelta = timedelta(seconds=2)  # for discovery to answer a call that does not wait
     watch_grace: timedelta = timedelta(seconds=1)  # past either, for the answer to arrive
-    stop_accepting: timedelta = timedelta(milliseconds=700)  # after SIGTERM, for clients that don't know yet
+    # After SIGTERM: how long jobs are taken on, and by when the last of them is answered. A supervisor that
+    # waits for less than the second before it kills must be told to wait for longer.
+    serve_on: timedelta = timedelta(milliseconds=2500)
+    answer_by: timedelta = timedelta(milliseconds=3600)
     grab: timedelta = timedelta(milliseconds=500)  # for a Gearman worker to ask for what was chosen for it
     settle: timedelta = timedelta(seconds=10)  # after our start, for workers that only come back to us
     poll: timedelta = timedelta(milliseconds=100)  # between looks at the inventory; two make a change count
@@ -67,7 +84,7 @@
     @staticmethod
     def fit(
         sockets: int, memory_mb: int, most_held: int, connect: timedelta, worker_idle: timedelta, *,
-        gearman: bool = False,
+        longest: timedelta = _LONGEST, gearman: bool = False,
     ) -> "Limits":
         """Share out descriptors and memory, keeping some for refusals, discovery and the log."""
         usable = max(16, sockets - 64)
@@ -80,6 +97,8 @@
             # A refused connection still takes its answer: open requests stay under the connections.
             requests=max(1, min(most_held, clients)),
             connect=connect,
+            serve_on=_serve_on(longest),
+            answer_by=_answer_by(longest),
             worker_idle=min(worker_idle / 3, timedelta(seconds=5)),
         )
 
--- a/hazellead/platform/config.py
+++ b/hazellead/platform/config.py
@@ -8,10 +8,10 @@
 from pathlib import Path
 from typing import Any
 
-from hazellead import wire
 from hazellead.core.clock import span, to_us
-from hazellead.interface import Settings
+from hazellead.decide.interface import Settings
 from hazellead.limits import Limits
+from hazellead.sim import wire
 
 
 class ConfigError(Exception):
@@ -112,7 +112,8 @@
     except ValueError:
         raise ConfigError("settings: bad setting: caps.mostHeld") from None
     connect, idle = span(settings.connect_timeout_us), span(settings.conn_idle_us)
-    return Limits.fit(sockets, memory_mb, held, connect, idle, gearman=gearman)
+    longest = span(max(c.deadline_us for c in settings.classes))
+    return Limits.fit(sockets, memory_mb, held, connect, idle, longest=longest, gearman=gearman)
 
 
 def load(environment: Mapping[str, str] = os.environ) -> Config:
--- a/hazellead/platform/discovery.py
+++ b/hazellead/platform/discovery.py
@@ -8,8 +8,8 @@
 import structlog
 from tornado.iostream import IOStream, StreamClosedError
 
-from hazellead import interface as api
 from hazellead.core.clock import to_us
+from hazellead.decide import interface as api
 from hazellead.limits import Limits
 from hazellead.net import http, streams
 from hazellead.net.client import read_response
--- a/hazellead/platform/workers.py
+++ b/hazellead/platform/workers.py
@@ -12,7 +12,7 @@
 
 from hazellead.core.clock import Clock, to_us
 from hazellead.core.jobs import Attempt
-from hazellead.interface import Outcome
+from hazellead.decide.interface import Outcome
 from hazellead.limits import Limits
 from hazellead.net import http, streams
 from hazellead.net.client import read_response
--- /dev/null
+++ b/hazellead/sim/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter that hosts the decisions on the simulator's wire."""
--- a/hazellead/simhost.py
+++ b/hazellead/sim/host.py
@@ -3,9 +3,9 @@
 import sys
 from typing import BinaryIO
 
-from hazellead import wire
-from hazellead.choice import Dispatcher
-from hazellead.interface import Event
+from hazellead.decide.choice import Dispatcher
+from hazellead.decide.interface import Event
+from hazellead.sim import wire
 
 
 def read_exactly(stream: BinaryIO, count: int) -> bytes:
--- a/hazellead/wire.py
+++ b/hazellead/sim/wire.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TypeVar
 
-from hazellead.interface import (
+from hazellead.decide.interface import (
     Abandoned,
     Action,
     Arrival,
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -9,9 +9,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from hazellead import choice
-from hazellead import interface as api
-from hazellead.choice import Dispatcher
+from hazellead.decide import choice
+from hazellead.decide import interface as api
+from hazellead.decide.choice import Dispatcher
 
 ENDS = [o for o in api.Outcome if o is not api.Outcome.MOOT]
 STEPS = st.lists(
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -10,7 +10,7 @@
 import pytest
 from loopback import free_port, http_message, run, until
 
-from hazellead import interface as api
+from hazellead.decide import interface as api
 from hazellead.limits import Limits
 from hazellead.platform.config import ConfigError, Names
 from hazellead.platform.discovery import Watch
--- a/tests/test_gearman_parts.py
+++ b/tests/test_gearman_parts.py
@@ -12,12 +12,12 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from loopback import ROOT, STEADY, VirtualTime, run
 
-from hazellead import interface as api
 from hazellead.core.jobs import Attempt, Job
+from hazellead.decide import interface as api
+from hazellead.decide.interface import Outcome, Phase
 from hazellead.gearman import config, inventory, workers
 from hazellead.gearman.jobs import JobTable, Ticket
 from hazellead.gearman.packets import ARGUMENTS, Packet, PacketError, Parser, Type, write
-from hazellead.interface import Outcome, Phase
 from hazellead.limits import Limits
 from hazellead.platform.config import ConfigError, Names
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -51,7 +51,7 @@
     return int(first.split()[1])
 
 
-def test_a_planned_end_answers_what_is_held_and_takes_more_for_a_while(tmp_path: Path) -> None:
+def test_a_planned_end_serves_on_kept_connections_then_answers_all_in_time(tmp_path: Path) -> None:
     async def case() -> None:
         port, count = free_port(), Counter[bytes]()
         worker = HttpWorker("s-1", count, lambda: port)
@@ -60,25 +60,37 @@
             assert await get(port, "/up") == 200
             kept, kept_writer = await asyncio.open_connection("127.0.0.1", port)
             idle, idle_writer = await asyncio.open_connection("127.0.0.1", port)
-            held = asyncio.ensure_future(http_post(port, "/post-payment", b"a", HEADERS.format("11")))
-            await until(lambda: count[b"a"])
+
+            async def on_kept(identity: str) -> tuple[int, dict[str, str]]:
+                kept_writer.write(f"POST /post-payment HTTP/1.1\r\n{HEADERS.format(identity)}"
+                                  f"Content-Length: 1\r\n\r\n{identity}".encode())
+                first, headers, _ = await http_message(kept)
+                return int(first.split()[1]), headers
+
+            held = [asyncio.ensure_future(http_post(port, "/post-payment", name.encode(), headers))
+                    for name, headers in ((n, HEADERS.format("1" + n)) for n in "ab")]
+            await until(lambda: count[b"a"] and count[b"b"])
             process.send_signal(signal.SIGTERM)
+            began = asyncio.get_running_loop().time()
             while await get(port, "/up") == 200:
                 await asyncio.sleep(0.01)
-            kept_writer.write(b"GET /up HTTP/1.1\r\n\r\n")
-            assert (await http_message(kept))[1]["connection"] == "close"  # for the client to go elsewhere
-            assert await kept.read() == b""
+            for i, pause in enumerate((0.0, 1.2, 0.8)):  # new work on the same connection for 2 s and more
+                await asyncio.sleep(pause)
+                late = asyncio.ensure_future(on_kept(str(i)))
+                await until(lambda i=i: count[b"%d" % i])
+                assert await worker.call_back(str(i), state="done", result="r") == 200
+                status, headers = await late
+                assert status == 200 and headers.get("connection") != "close"
+            await asyncio.sleep(began + 2.6 - asyncio.get_running_loop().time())
+            assert await kept.read() == await idle.read() == b""  # ended without a reset
             kept_writer.close()
-            late = asyncio.ensure_future(http_post(port, "/post-payment", b"b", HEADERS.format("22")))
-            await until(lambda: count[b"b"])  # new work, though the end has been called
-            await asyncio.sleep(0.8)
+            idle_writer.close()
             status, headers, _ = await http_post(port, "/post-payment", b"c", HEADERS.format("33"))
             assert status == 429 and float(headers["retry-after"]) > 0 and not count[b"c"]
-            for identity in ("11", "22"):  # the listener is where call-backs arrive
-                assert await worker.call_back(identity, state="done", result="r" + identity) == 200
-            assert [(await x)[::2] for x in (held, late)] == [(200, b"r11"), (200, b"r22")]
-            assert await idle.read() == b""  # closed without a reset
-            idle_writer.close()
+            assert await worker.call_back("1a", state="done", result="ra") == 200  # taken still
+            assert (await held[0])[::2] == (200, b"ra")
+            assert (await held[1])[0] == 502  # it may have run; its client has 5 s
+            assert 3.4 < asyncio.get_running_loop().time() - began < 3.7
             assert await asyncio.wait_for(process.wait(), 10) == 0
 
     run(case())
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -1,16 +1,16 @@
 """The core against a model of requests and attempts: one answer each, one end for each push."""
 
-from datetime import timedelta
+from datetime import datetime, timedelta
 from typing import Any
 
 from helpers import BASE
 from hypothesis import strategies as st
-from hypothesis.stateful import Bundle, RuleBasedStateMachine, consumes, rule
+from hypothesis.stateful import Bundle, RuleBasedStateMachine, consumes, invariant, rule
 from loopback import STEADY, Answers, VirtualTime
 
-from hazellead import interface as api
 from hazellead.core.jobs import Attempt, Job
 from hazellead.core.scheduler import Scheduler
+from hazellead.decide import interface as api
 from hazellead.limits import Limits
 
 SITE = api.Settings(
@@ -58,6 +58,7 @@
         self.scheduler._dispatcher.handle = listen  # type: ignore[method-assign,assignment]
         self.replies: dict[int, Answers] = {}
         self.left: set[int] = set()
+        self.end: datetime | None = None
         self.phases = dict.fromkeys((1, 2, 3), api.Phase.READY)
         self.tell()
 
@@ -97,6 +98,17 @@
     def wait(self, ms: int) -> None:
         self.time.run(ms * MS)
 
+    @rule(ms=st.sampled_from([100, 600]))
+    def call_the_end(self, ms: int) -> None:
+        self.end = min(self.end or self.time.now() + ms * MS, self.time.now() + ms * MS)
+        self.scheduler.end_by(self.end)
+
+    @invariant()
+    def all_is_answered_by_the_end_that_was_called(self) -> None:
+        if self.end and self.time.now() >= self.end:
+            assert not self.scheduler.held and all(
+                r.final for n, r in self.replies.items() if n not in self.left)
+
     def teardown(self) -> None:
         self.time.run(timedelta(seconds=3))
         ends = [e for e in self.told if isinstance(e, api.AttemptEnded)]
@@ -147,6 +159,21 @@
     assert again.final == ["failed"] and [a.job.identity for a in worker.sent] == ["b"]
 
 
+def test_at_a_called_end_what_never_ran_is_refused_and_what_may_have_run_has_failed() -> None:
+    time, worker, scheduler = started()
+    sent, waiting = Answers(), Answers()
+    scheduler.submit(job("a"), sent)
+    time.run(10 * MS)
+    scheduler.listed(api.WorkerList(api.ListKind.FULL))
+    scheduler.submit(job("b"), waiting)
+    scheduler.end_by(time.now() + 50 * MS)
+    time.run(49 * MS)
+    assert not sent.final and [a.job.identity for a in worker.sent] == ["a"]
+    time.run(2 * MS)
+    assert sent.final == ["failed"] and waiting.final == ["refused"]
+    assert worker.given_up == worker.sent and not scheduler.held
+
+
 def test_a_full_table_refuses_and_a_deadline_is_answered_before_the_client_gives_up() -> None:
     time, _, scheduler = started()
     replies = [Answers() for _ in range(3)]
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -5,8 +5,9 @@
 
 import pytest
 
-from hazellead import interface as api
-from hazellead import simhost, wire
+from hazellead.decide import interface as api
+from hazellead.sim import host as simhost
+from hazellead.sim import wire
 
 FORM = wire.ReportForm(["latency_ms", "inflight", "x0"], "free_slots")
 SETUP = """siblings=2
@@ -158,6 +159,6 @@
     def broken(*_: object) -> list[api.Action]:
         raise KeyError("what was sought")
 
-    monkeypatch.setattr("hazellead.choice.Dispatcher.handle", broken)
+    monkeypatch.setattr("hazellead.decide.choice.Dispatcher.handle", broken)
     out = serve(batch(1, start(2)))
     assert b"KeyError: 'what was sought'" in out and out[12:15] == wire.source(2) and out[15] == 9
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -12,7 +12,7 @@
 
 from hazellead.core.clock import Clock
 from hazellead.core.jobs import Attempt, Job
-from hazellead.interface import Outcome
+from hazellead.decide.interface import Outcome
 from hazellead.limits import Limits
 from hazellead.platform.workers import HttpWorkers, Place
 
