--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 PYTHON = $(VENV)/bin/python
 
-.PHONY: build test lint run gearman
+.PHONY: build test lint run gearman measure-learning
 
 build: $(VENV)/dev
 
@@ -25,3 +25,7 @@
 
 gearman: build
 	exec $(PYTHON) -m hazellead deploy/gearman.toml
+
+# What learning from a running instance is worth and costs; some five minutes on eight cores.
+measure-learning: build
+	$(PYTHON) -m hazellead.lab.measure_learning
--- a/hazellead/__main__.py
+++ b/hazellead/__main__.py
@@ -1,6 +1,6 @@
 """Reads the configuration, puts the parts together, serves until told to stop.
 
-With no argument it serves the platform. With the path of an operator's file it serves Gearman speakers too.
+With no argument it serves the platform. With the path of an operator's file it serves what that turns on.
 """
 
 import asyncio
@@ -23,9 +23,10 @@
 from hazellead.platform.discovery import Watch
 from hazellead.platform.workers import HttpWorkers
 
-# The Gearman front is imported where it is used: restarts on the platform need not wait for its libraries.
+# Optional parts are imported where they are used: restarts on the platform need not wait for their libraries.
 if TYPE_CHECKING:
-    from hazellead.gearman.config import GearmanConfig
+    from hazellead.operators import Operators
+    from hazellead.peers.service import PeerService
 
 log = structlog.get_logger()
 
@@ -57,17 +58,18 @@
 class Program:
     """One scheduler and the fronts before it."""
 
-    def __init__(self, given: config.Config, operators: "GearmanConfig | None") -> None:
-        """Put the parts together and listen."""
+    def __init__(self, given: config.Config, operators: "Operators | None") -> None:
+        """Put the parts together and listen. Jobs are taken from now on, but it is ready after ``start``."""
         self.given, self.operators = given, operators
         clock, self.limits = Clock(), given.limits
         self.clock = clock
         self.scheduler = Scheduler(given.settings, given.seed, given.limits, clock, IOLoop.current())
         self.watch, self.gearman = None, None
-        if operators:
+        self.peers: PeerService | None = None
+        if operators and operators.gearman:
             from hazellead.gearman.assembly import GearmanFront
 
-            self.gearman = GearmanFront(operators, self.scheduler, clock)
+            self.gearman = GearmanFront(operators.gearman, self.scheduler, clock)
             workers = self.gearman.http
         else:
             if given.discovery is None:
@@ -79,21 +81,37 @@
         self.front = Front(self.scheduler, given.names, workers.call_back)
         self.server = HttpServer(given.limits, clock, self.front.handle)
         listen(self.server, given.listen, self.limits.backlog)
-        if operators and self.gearman:
-            listen(self.gearman.server, operators.listen, self.limits.backlog)
+        if operators and operators.gearman and self.gearman:
+            listen(self.gearman.server, operators.gearman.listen, self.limits.backlog)
         self.sweeper = PeriodicCallback(workers.pool.sweep, self.limits.sweep)
         self.sweeper.start()
+        if operators and operators.peers:
+            from hazellead.peers.assembly import assemble
+
+            self.peers = assemble(operators.peers, self.scheduler, given, clock)
+
+    async def start(self) -> None:
+        """Learn from others where that is set, but only so long; then be ready."""
+        if self.peers:
+            await self.peers.start()
         self.front.ready = True
+        given = self.given
         log.info("ready", name=given.name, listen=f"{given.listen[0]}:{given.listen[1]}")
 
-    def reload(self, given: config.Config, operators: "GearmanConfig | None") -> None:
+    def reload(self, given: config.Config, operators: "Operators | None") -> None:
         """Bring a new configuration in force, as far as that goes while jobs are under way."""
         kept = config.fixed(self.given, given)
-        if operators and self.operators:
-            kept += ["gearman.listen"] if operators.listen != self.operators.listen else []
-        if self.gearman and operators:
-            # What functions are to the module rests on its settings, so they change together or not at all.
-            kept += self.gearman.reload(operators, same="settings" not in kept)
+        new, held = operators, self.operators
+        if new and held:
+            kept += [part for part in ("gearman", "peers")
+                     if (getattr(new, part) is None) != (getattr(held, part) is None)]
+            # What may be refused comes first: then nothing has changed.
+            commit = self.peers.prepare(new.peers) if self.peers and new.peers else None
+            if self.gearman and new.gearman and held.gearman:
+                kept += ["gearman.listen"] if new.gearman.listen != held.gearman.listen else []
+                # What functions are to the module rests on its settings: they change together or not at all.
+                kept += self.gearman.reload(new.gearman, same="settings" not in kept)
+            kept += commit() if commit else []
         if self.watch:
             if given.discovery is None:
                 raise config.ConfigError("discovery is missing")
@@ -125,17 +143,19 @@
             await self.gearman.finish()
         if self.watch:
             self.watch.close()
+        if self.peers:
+            await self.peers.stop()
         self.sweeper.stop()
         log.info("stopped")
 
 
-def load(operators_file: str | None) -> tuple[config.Config, "GearmanConfig | None"]:
+def load(operators_file: str | None) -> tuple[config.Config, "Operators | None"]:
     """Read the configuration."""
     if operators_file:
-        from hazellead.gearman import config as gearman_config
+        from hazellead import operators
 
-        operators = gearman_config.load(Path(operators_file), os.environ)
-        return operators.base, operators
+        given = operators.load(Path(operators_file), os.environ)
+        return given.base, given
     return config.load(os.environ), None
 
 
@@ -145,6 +165,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, terminated.set)
     program = Program(*load(operators_file))
+    await program.start()
 
     def reload() -> None:
         try:
--- a/hazellead/core/scheduler.py
+++ b/hazellead/core/scheduler.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
+from typing import TYPE_CHECKING
 
 import structlog
 from tornado.ioloop import IOLoop
@@ -14,6 +15,9 @@
 from hazellead.decide.choice import Dispatcher
 from hazellead.limits import Limits
 
+if TYPE_CHECKING:
+    from hazellead.decide.known import Known
+
 log = structlog.get_logger()
 
 
@@ -39,7 +43,7 @@
         self._requests: dict[int, _Request] = {}
         self._identities: set[str] = set()
         self._ended: OrderedDict[str, None] = OrderedDict()  # those that have lately ended
-        self._phases: dict[int, api.Phase] = {}
+        self._listed: dict[int, api.WorkerEntry] = {}
         self._events: list[api.Event] = []
         self._tick = span(settings.tick_us)
         self._last, self._due, self._count = clock.now() - self._tick, False, 0
@@ -60,7 +64,7 @@
     @property
     def knows_workers(self) -> bool:
         """Say whether any worker is open to work."""
-        return any(self.open_to_work(w) for w in self._phases)
+        return any(self.open_to_work(w) for w in self._listed)
 
     # From clients.
 
@@ -128,16 +132,39 @@
     def listed(self, event: api.WorkerList) -> None:
         """Take in the worker list. Its drains bind sends at once, before the module's next step."""
         if event.kind in (api.ListKind.FULL, api.ListKind.CACHED):
-            self._phases = dict.fromkeys(self._phases, api.Phase.GONE)
-        self._phases |= {e.worker: e.phase for e in event.entries}
+            # What a whole list no longer names is gone, and need not be remembered to be so.
+            self._listed.clear()
+        self._listed |= {e.worker: e for e in event.entries}
         self._put(event)
 
     def open_to_work(self, worker: int) -> bool:
         """Say whether a worker may be sent new work, as far as this scheduler was told."""
-        phase = self._phases.get(worker, api.Phase.GONE)
+        entry = self._listed.get(worker)
+        phase = entry.phase if entry else api.Phase.GONE
         lost = phase is api.Phase.GONE and not self.settings.drain_binds_alone
         return phase is not api.Phase.DRAINING and not lost
 
+    # What the decisions know, for instances that learn from each other.
+
+    @property
+    def workers(self) -> tuple[api.WorkerEntry, ...]:
+        """Return the list of workers as it was told."""
+        return tuple(self._listed.values())
+
+    def worker_name(self, worker: int) -> str:
+        """Return what a worker is called everywhere."""
+        return self._directory.name(worker)
+
+    def known(self) -> "Known":
+        """Return what this scheduler's decisions have seen themselves."""
+        return self._dispatcher.known()
+
+    def learn(self, known: "Known") -> None:
+        """Let the decisions take over what others have seen, of the list as it is now."""
+        if self._events:
+            self._step()
+        self._dispatcher.learn(known)
+
     # From attempts.
 
     def attempt_began(self, attempt: Attempt) -> None:
--- a/hazellead/decide/choice.py
+++ b/hazellead/decide/choice.py
@@ -11,10 +11,13 @@
 from collections import deque
 from collections.abc import Callable, Sequence
 from dataclasses import replace
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from hazellead.decide import interface as api
-from hazellead.decide.records import Attempt, Mean, Request, Worker
+from hazellead.decide.records import Attempt, Learned, Mean, Request, Worker
+
+if TYPE_CHECKING:
+    from hazellead.decide import known as seen
 
 HOLD = 0.5  # seconds of its own tokens in a tenant's bank (C_T), and of the slack in its buffer (C_J)
 LEAST = 3.0  # slots that a bank holds at least
@@ -120,6 +123,7 @@
         self.run_us = [float(max(c.aim_us, settings.tick_us)) for c in settings.classes]
         self.mean_run = sum(self.run_us) / len(self.run_us)
         self.runs, self.whole = [0] * len(self.run_us), [0] * len(self.run_us)
+        self.ran = [Mean(0.0, 0) for _ in self.run_us]  # the same, of what was seen here alone
         self.now = self.accrued = self.sized_at = self.bound_at = self.wake_at = self.ask_at = -1
         self.looking, self.looked_at, self.full, self.barren = 0, -1, False, False
         self.reuse = float(settings.conn_idle_us)  # how long a connection may have idled and be trusted
@@ -171,6 +175,53 @@
             self.wake_at = max(min(due), self.now + self.settings.tick_us)
             self.out.append(api.SetTimer(self.wake_at - self.now, 0))
 
+    # The door for what others know; hazellead/learning weighs it.
+
+    def known(self) -> "seen.Known":
+        """Return what has been seen here, and nothing that was taken over."""
+        from hazellead.decide.known import Estimate, Known
+        watched = self.watched + max(0, self.now - self.sized_at) / 1e6
+        demand = [Estimate(t.asked / max(watched, 1e-6), watched, self.now) for t in self.tenants]
+        return Known(
+            tuple(w.seen_here() for w in self.workers.values()),
+            tuple(Estimate(m.value, m.count, self.now) for m in self.ran), tuple(demand),
+            Estimate(self.factor, min(m.count for m in self.ran), self.now))
+
+    def learn(self, known: "seen.Known") -> None:
+        """Take over what others have seen: as a start that our own evidence outweighs, and caution at once.
+
+        Nothing of it opens a worker or warms a cold one; of a worker it counts for the same start only.
+        """
+        fresh = not any(m.count for m in self.ran)
+        for k in known.workers:
+            w = self.workers.get(k.worker)
+            if w is None or w.entry.started_us != k.started_us:
+                continue
+            if k.pace.weight > 0:
+                w.speed.base(k.pace)
+            # Queues are news of a moment. To go by others' for longer would send all to the same workers.
+            w.wait.base(k.delay if fresh else type(k.delay)())
+            w.timed = max(w.timed, int(k.pace.weight > 0))
+            if k.slots.weight > 0 and not (w.told or w.speed.seen.count or 0 < w.cold_since):
+                w.slots = w.guessed = k.slots.value
+            if k.blame.weight > 0 and w.vouched < k.blame.at_us:
+                w.blame = max(w.blame, k.blame.value)
+            if k.broke.weight > 0 and w.cold_since < k.broke.at_us <= self.now:
+                w.cold_since, w.drawn_until = k.broke.at_us, 0
+            if k.drain.weight > 0 and w.drained < 0:
+                w.full_until = max(w.full_until, k.drain.at_us)
+        for c, theirs in enumerate(known.runs):
+            if theirs.weight > 0 and not self.runs[c]:
+                self.run_us[c], self.runs[c] = theirs.value, int(min(theirs.weight, 5 / LEARN))
+        if not self.watched and known.demand and all(d.weight > 0 for d in known.demand):
+            self.watched = min(MEMORY * self.mean_run / 1e6, *(d.weight for d in known.demand))
+            for t, theirs in zip(self.tenants, known.demand, strict=False):
+                t.asked = theirs.value * self.watched
+        if known.factor.weight > 0 and fresh:
+            self.factor = max(known.factor.value, FLOOR)
+        if self.now >= 0:
+            self._size()
+
     # Admission: the throttle of the design.
 
     def _arrive(self, event: api.Arrival) -> None:
@@ -356,7 +407,7 @@
 
     def _quick(self, w: Worker) -> float:
         """Weigh a worker by how soon jobs began there: the one sign of others' jobs where none reports."""
-        return 1 / (1 + w.delay / self.mean_run) ** AVOID
+        return 1 / (1 + w.wait.value / self.mean_run) ** AVOID
 
     def _silence(self, w: Worker) -> float:  # unanswered work since a sign of serving, in mean run times
         mean = self.mean_run * min(max(w.pace, 1.0), 2.0)
@@ -469,7 +520,7 @@
             self._touch(w)
             if not attempt.began:
                 attempt.began, w.silence = self.now, 0.0
-                w.delay += 2 * LEARN * (self.now - attempt.sent - w.delay)
+                w.wait.add(self.now - attempt.sent, 2 * LEARN, self.now, 2 * LEARN)
                 w.unstarted.discard(key)
                 if (wait := self.now - attempt.sent) > self._slack(attempt.request.job_class):
                     self._overload(w)  # its wait alone made it late
@@ -537,8 +588,9 @@
             chance = outcome is api.Outcome.RESET and not w.failures
             w.blame = w.blame / 2 + (SLIP if chance else 1)
             if outcome is api.Outcome.RESET and not chance:
-                w.cold_since, w.drawn_until = self.now, 0
+                w.cold_since, w.broke, w.drawn_until = self.now, self.now, 0
             w.failures, w.next_trial = w.failures + 1, self.now + int(run) * 2 ** min(w.failures, 4)
+            w.failed = self.now
         if outcome is not api.Outcome.SERVED:
             return
         self.reuse = min(self.reuse * (1 + LEARN / 5), self.settings.conn_idle_us)
@@ -549,13 +601,14 @@
             self.by_hint.add(ratio := spent_us / r.hint, LEARN / 5)
             ratio = min(ratio / self.by_hint.value, 4.0)
             kind = self.kinds.setdefault(w.entry.kind, Mean(1.0))
-            w.pace, w.timed = w.pace if w.timed else kind.value, w.timed + 1
-            w.pace += max(1 / (w.timed + 4), LEARN) * (ratio - w.pace)
+            w.speed, w.timed = w.speed if w.timed else Learned(kind.value), w.timed + 1
+            w.speed.add(ratio, max(1 / (w.timed + 4), LEARN), self.now, LEARN / 5)
             kind.add(ratio, LEARN / 5)
         else:
-            w.pace += 2 * LEARN * (min(spent_us / run, 10.0) - w.pace)
+            w.speed.add(min(spent_us / run, 10.0), 2 * LEARN, self.now, LEARN / 5)
         self.runs[r.job_class] += 1
         self.run_us[r.job_class] += max(1 / self.runs[r.job_class], LEARN / 5) * (max(1, spent_us) - run)
+        self.ran[r.job_class].add(max(1, spent_us), LEARN / 5)
         if w.held + 1 >= w.slots and not w.told:
             w.slots += 1 / w.slots
         if self.now - self.bound_at < 2 * run:
--- a/hazellead/decide/records.py
+++ b/hazellead/decide/records.py
@@ -1,9 +1,13 @@
 """What a dispatcher keeps of each attempt, request and worker. Plain data; the decisions are in choice.py."""
 
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from hazellead.decide import interface as api
 
+if TYPE_CHECKING:
+    from hazellead.decide import known as door
+
 
 @dataclass(slots=True)
 class Mean:
@@ -18,6 +22,39 @@
         self.value += max(1 / self.count, least) * (seen - self.value)
 
 
+class Learned:
+    """A running average that may start from what others have seen, and a longer one of what was seen here."""
+
+    __slots__ = ("at", "given", "rest", "seen", "value", "weight")
+
+    def __init__(self, value: float) -> None:
+        """Start from a value that nothing stands behind."""
+        self.value = self.given = value
+        self.rest = 1.0  # the part of the value that is still what it was given
+        self.weight = 0.0  # observations that stand behind what it was given
+        self.seen = Mean(0.0, 0)  # here alone, for others
+        self.at = 0
+
+    def add(self, seen: float, weight: float, now: int, least: float) -> None:
+        """Take one observation in: with its weight, or, where others' stand behind it, as one of them all."""
+        self.seen.add(seen, least)
+        if self.weight:
+            weight = min(weight, max(1 / (self.weight + self.seen.count), least))
+        self.value += weight * (seen - self.value)
+        self.rest, self.at = self.rest * (1 - weight), now
+
+    def base(self, given: "door.Estimate") -> None:
+        """Change what it was given; what was seen here keeps its part."""
+        self.value += self.rest * (given.value - self.given)
+        self.given, self.weight = given.value, given.weight
+
+    def own(self) -> "door.Estimate":
+        """Return what was seen here alone."""
+        from hazellead.decide import known as door
+
+        return door.Estimate(self.seen.value, self.seen.count, self.at)
+
+
 @dataclass(slots=True, eq=False)
 class Request:
     """One request that still waits for its final answer."""
@@ -64,7 +101,7 @@
     others: float = 0.0  # slots in use by other dispatchers, as its reports tell
     slots: float = 2.0  # as reports tell (``told``); where none does, by accepts and refusals
     told: bool = False
-    pace: float = 1.0  # run times here over run times anywhere
+    speed: Learned = field(default_factory=lambda: Learned(1.0))  # run times here over run times anywhere
     timed: int = 0  # run times seen here that a hint could be held against
     period: float = 1e6  # time between reports
     idle: list[int] = field(default_factory=list)  # since when each of our open connections idles
@@ -72,7 +109,7 @@
     drawn_until: int = 0
     blame: float = 0.0
     silence: float = 0.0
-    delay: float = 0.0  # how long jobs waited there for their start, the newest counting most
+    wait: Learned = field(default_factory=lambda: Learned(0.0))  # how long jobs waited there for their start
     failures: int = 0
     fulls: int = 0  # refusals as full since it last served
     full_until: int = 0
@@ -80,4 +117,25 @@
     asked: int = 0  # when it was last probed
     changed: int = 0  # when its last new report came
     report: api.Report | None = None
+    broke: int = 0  # when it broke before our eyes
+    failed: int = 0  # when it last failed
+    guessed: float = 0.0  # slots that others have told and nothing here has borne out
     unstarted: set[tuple[int, int]] = field(default_factory=set)
+
+    @property
+    def pace(self) -> float:
+        """Return run times here over run times anywhere."""
+        return self.speed.value
+
+    def seen_here(self) -> "door.KnownWorker":
+        """Return what was seen of it here."""
+        from hazellead.decide import known as door
+
+        own = self.speed.own()
+        draining = self.drained >= 0 and self.drained == self.entry.started_us
+        return door.KnownWorker(
+            self.entry.worker, self.entry.started_us, own, self.wait.own(),
+            slots=door.Estimate(self.slots, own.weight * (self.slots != self.guessed), own.at_us),
+            blame=door.Estimate(self.blame, min(self.failures, 8), self.failed),
+            broke=door.Estimate(1.0, self.broke > self.entry.started_us, self.broke),
+            drain=door.Estimate(1.0, draining, self.seen))
--- a/hazellead/gearman/config.py
+++ b/hazellead/gearman/config.py
@@ -1,7 +1,5 @@
-"""Reads the operator's file that turns the Gearman front on."""
+"""Reads the part of an operator's file that turns the Gearman front on."""
 
-import secrets
-import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from datetime import timedelta
@@ -25,15 +23,8 @@
     functions: dict[str, Function]
 
 
-def load(path: Path, environment: Mapping[str, str]) -> GearmanConfig:
-    """Read the file; paths in it are relative to it."""
-    try:
-        given = tomllib.loads(path.read_text())
-    except OSError as error:
-        raise ConfigError(f"{path}: {error.strerror}") from None
-    except ValueError as error:
-        raise ConfigError(f"{path}: {error}") from None
-    given.setdefault("seed", secrets.token_hex(8))
+def read(given: dict[str, Any], path: Path, environment: Mapping[str, str]) -> GearmanConfig:
+    """Read what a file holds; paths in it are relative to it."""
     own = given.get("gearman")
     if not isinstance(own, dict) or set(own) != {"listen", "inventory", "functions"}:
         raise ConfigError(f"{path}: [gearman] holds listen, inventory and functions")
--- /dev/null
+++ b/hazellead/lab/mesh.py
@@ -0,0 +1,137 @@
+"""Members in virtual time: real ``peers.Node``s over a modelled network that delays, loses and parts."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from random import Random
+
+from hazellead.lab.time import Timer, VirtualTime
+from hazellead.learning.facts import LearningSettings, default_half_lives
+from hazellead.peers.messages import Message, Reader, encode
+from hazellead.peers.node import Node, NodeSettings
+from hazellead.peers.swim import Out
+
+
+@dataclass(slots=True, frozen=True)
+class MeshNetwork:
+    """One-way delays, and the part of messages that never arrives."""
+
+    delay_us: tuple[float, float] = (300, 15_000)
+    loss: float = 0.0
+
+
+@dataclass(slots=True)
+class Peer:
+    """One member of a mesh, and what it has sent."""
+
+    node: Node
+    up: bool = True
+    sent_bytes: int = 0
+    sent_messages: int = 0
+    side: int = 0  # of a partition
+    slow_us: int = 0  # a pause: it handles nothing until then
+    timer: Timer | None = None
+    reader: Reader = field(init=False)
+    on_learned: Callable[["Peer"], None] | None = None
+    version: int = 0
+
+    def __post_init__(self) -> None:
+        """Set up what reads its messages."""
+        self.reader = Reader(self.node.settings.bounds)
+
+
+class Mesh:
+    """Any number of members in one virtual time. Messages are really encoded, counted and decoded."""
+
+    def __init__(
+        self, time: VirtualTime, seed: int, settings: NodeSettings | None = None,
+        learning: LearningSettings | None = None, network: MeshNetwork | None = None, *, coded: bool = True,
+    ) -> None:
+        """Start empty. ``coded`` False counts sizes now and then only, for large runs."""
+        self.time, self.rng = time, Random(f"mesh {seed}")
+        self.settings = settings or NodeSettings()
+        self.learning = learning or LearningSettings(default_half_lives())
+        self.network, self.coded = network or MeshNetwork(), coded
+        self.peers: dict[str, Peer] = {}
+        self._clocks: dict[str, int] = {}
+        self.deaths: list[tuple[int, str, str]] = []  # when, who says so, of whom
+        self.changes: list[tuple[int, str, str, int]] = []  # when, who, of whom, standing
+
+    def add(self, name: str, seeds: Iterable[str] = (), clock_us: int = 0) -> Peer:
+        """Start a member; one of that name that was there before is gone."""
+        if old := self.peers.get(name):
+            self.kill(old)
+        node = Node(name, name, self.time.now_us() + clock_us, self.settings, self.learning,
+                    Random(f"{self.rng.random()} {name}"))
+        peer = self.peers[name] = Peer(node)
+        self._clocks[name] = clock_us
+        self._send(peer, node.start(self._now(peer), seeds))
+        self._plan(peer)
+        return peer
+
+    def _now(self, peer: Peer) -> int:
+        return self.time.now_us() + self._clocks.get(peer.node.name, 0)
+
+    def kill(self, peer: Peer) -> None:
+        """End a member at once."""
+        peer.up = False
+        if peer.timer:
+            peer.timer.cancel()
+
+    def _plan(self, peer: Peer) -> None:
+        if peer.timer:
+            peer.timer.cancel()
+        wait = max(peer.node.due() - self._now(peer), 1000)
+        peer.timer = self.time.after(wait, self._tick, peer)
+
+    def _tick(self, peer: Peer) -> None:
+        if not peer.up:
+            return
+        if peer.slow_us > self.time.now_us():
+            peer.timer = self.time.after(peer.slow_us - self.time.now_us(), self._tick, peer)
+            return
+        self._send(peer, peer.node.tick(self._now(peer)))
+        self._after(peer)
+        self._plan(peer)
+
+    def _after(self, peer: Peer) -> None:
+        for change in peer.node.take_changes():
+            now = self.time.now_us()
+            self.changes.append((now, peer.node.name, change.name, int(change.standing)))
+            if change.standing == 2:
+                self.deaths.append((now, peer.node.name, change.name))
+        if peer.node.knowledge.version != peer.version:
+            peer.version = peer.node.knowledge.version
+            if peer.on_learned:
+                peer.on_learned(peer)
+
+    def _send(self, peer: Peer, out: list[Out]) -> None:
+        for name, address, message in out:
+            data = encode(message)
+            peer.sent_bytes += len(data) + 29  # TLS puts that many round a record
+            peer.sent_messages += 1
+            target = self.peers.get(name or address)
+            if target is None or target.side != peer.side or self.rng.random() < self.network.loss:
+                continue
+            wait = self.rng.uniform(*self.network.delay_us)
+            self.time.after(wait, self._arrive, target, peer.node.name, data if self.coded else message)
+
+    def _arrive(self, target: Peer, sender: str, data: bytes | Message) -> None:
+        if not target.up:
+            return
+        if target.slow_us > self.time.now_us():
+            self.time.after(target.slow_us - self.time.now_us(), self._arrive, target, sender, data)
+            return
+        messages = target.reader.feed(data) if isinstance(data, bytes) else [data]
+        for message in messages:
+            self._send(target, target.node.receive(self._now(target), sender, message))
+        self._after(target)
+
+    def part(self, some: Iterable[str]) -> None:
+        """Cut some members off from the others."""
+        for name in some:
+            self.peers[name].side = 1
+
+    def heal(self) -> None:
+        """Join the parts."""
+        for peer in self.peers.values():
+            peer.side = 0
--- /dev/null
+++ b/hazellead/peers/config.py
@@ -0,0 +1,157 @@
+"""The operator's tables ``[peers]``, ``[learning]`` and ``[snapshot]``, checked."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+from pathlib import Path
+from typing import Annotated, Any, TypeVar
+
+import msgspec
+
+from hazellead.learning.facts import LearningSettings, Topic, default_half_lives
+from hazellead.peers.keys import KeyFiles, NamePolicy
+from hazellead.peers.node import NodeSettings
+from hazellead.peers.swim import MS, SwimSettings
+from hazellead.platform.config import ConfigError, address
+
+T = TypeVar("T")
+Milliseconds = Annotated[int, msgspec.Meta(gt=0, le=3_600_000)]
+Seconds = Annotated[int, msgspec.Meta(gt=0, le=31_536_000)]
+Count = Annotated[int, msgspec.Meta(gt=0, le=1_000_000)]
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
+
+
+class _Tls(msgspec.Struct, forbid_unknown_fields=True):
+    ca: Name
+    cert: Name
+    key: Name
+    warn_days: Seconds = 14
+
+
+class _Peers(msgspec.Struct, forbid_unknown_fields=True):
+    listen: Name
+    tls: _Tls
+    cluster: Name = "hazellead"
+    advertise: str = ""
+    seeds: list[Name] = []
+    members: list[Name] = []
+    names: str = ""
+    start_ms: Annotated[int, msgspec.Meta(ge=0, le=10_000)] = 300
+    ask: Annotated[int, msgspec.Meta(ge=1, le=16)] = 3
+    exchange_ms: Annotated[int, msgspec.Meta(ge=50, le=60_000)] = 400
+    ping_ms: Annotated[int, msgspec.Meta(ge=100, le=60_000)] = 500
+    ping_timeout_ms: Annotated[int, msgspec.Meta(ge=10, le=30_000)] = 200
+    rate_kib: Annotated[int, msgspec.Meta(ge=1, le=65_536)] = 32
+    relay: bool = True
+
+
+class _Learning(msgspec.Struct, forbid_unknown_fields=True):
+    enabled: bool = True
+    every_ms: Annotated[int, msgspec.Meta(ge=50, le=60_000)] = 500
+    clamp: Annotated[float, msgspec.Meta(gt=1.0, le=100.0)] = 1.5
+    alone: Annotated[float, msgspec.Meta(gt=1.0, le=100.0)] = 4.0
+    witnesses: Annotated[int, msgspec.Meta(ge=1, le=64)] = 4
+    most_facts: Count = 20_000
+    shun_ms: Milliseconds = 1000
+    half_lives_s: dict[str, Seconds] = {}
+
+
+class _Snapshot(msgspec.Struct, forbid_unknown_fields=True):
+    path: Name
+    every_s: Seconds = 10
+    oldest_s: Seconds = 3600
+
+
+@dataclass(slots=True, frozen=True)
+class PeersConfig:
+    """What an operator sets for instances that talk, or that only remember over a restart."""
+
+    name: str
+    cluster: str
+    listen: tuple[str, int] | None  # None: no peers, a snapshot only
+    advertise: str
+    seeds: tuple[str, ...]
+    policy: NamePolicy
+    keys: KeyFiles | None
+    warn: timedelta
+    start: timedelta
+    node: NodeSettings
+    learning: LearningSettings
+    every: timedelta
+    snapshot: Path | None
+    snapshot_every: timedelta
+    snapshot_oldest: timedelta
+
+
+def _read(what: str, kind: type[T], given: Any) -> T:
+    """Check one table; an error names the key in the file's own words."""
+    try:
+        return msgspec.convert(given, kind, strict=True)
+    except msgspec.ValidationError as error:
+        text, _, path = str(error).partition(" - at `$")
+        raise ConfigError(f"{what}{path.rstrip('`')}: {text[:1].lower()}{text[1:]}") from None
+
+
+def present(given: Mapping[str, Any]) -> bool:
+    """Say whether an operator's file asks for any of this."""
+    return any(key in given for key in ("peers", "learning", "snapshot"))
+
+
+def read(given: Mapping[str, Any], folder: Path, name: str) -> PeersConfig:
+    """Read the tables; paths are relative to ``folder``. Raises ConfigError."""
+    if "peers" not in given and "snapshot" not in given:
+        raise ConfigError("learning: needs [peers] or [snapshot], where facts come from")
+    if not name:
+        raise ConfigError("name: an instance that learns needs one")
+    peers = _read("peers", _Peers, given["peers"]) if "peers" in given else None
+    learning = _learning(_read("learning", _Learning, given.get("learning", {})))
+    snapshot = _read("snapshot", _Snapshot, given["snapshot"]) if "snapshot" in given else None
+    every = timedelta(milliseconds=_read("learning", _Learning, given.get("learning", {})).every_ms)
+    if peers:
+        _check(peers, name)
+    listen = address(peers.listen, "peers.listen") if peers else None
+    tls = peers.tls if peers else None
+    return PeersConfig(
+        name=name, cluster=peers.cluster if peers else "hazellead", listen=listen,
+        advertise=(peers.advertise or peers.listen) if peers else "",
+        seeds=tuple(peers.seeds) if peers else (),
+        policy=NamePolicy(frozenset(peers.members), peers.names) if peers else NamePolicy(),
+        keys=KeyFiles(folder / tls.ca, folder / tls.cert, folder / tls.key) if tls else None,
+        warn=timedelta(days=tls.warn_days if tls else 14),
+        start=timedelta(milliseconds=peers.start_ms if peers else 0),
+        node=_node(peers) if peers else NodeSettings(), learning=learning, every=every,
+        snapshot=folder / snapshot.path if snapshot else None,
+        snapshot_every=timedelta(seconds=snapshot.every_s if snapshot else 10),
+        snapshot_oldest=timedelta(seconds=snapshot.oldest_s if snapshot else 3600))
+
+
+def _check(peers: _Peers, name: str) -> None:
+    if not peers.members and not peers.names:
+        raise ConfigError("peers: members or names says who may be one")
+    for number, seed in enumerate(peers.seeds):
+        address(seed, f"peers.seeds[{number}]")
+    if peers.advertise:
+        address(peers.advertise, "peers.advertise")
+    if peers.ping_timeout_ms * 2 > peers.ping_ms:
+        raise ConfigError("peers.ping_timeout_ms: is at most half of ping_ms, so that helpers have time")
+    if not NamePolicy(frozenset(peers.members), peers.names).allows(name):
+        raise ConfigError(f"peers: our own name {name!r} is not among members and does not fit names")
+
+
+def _node(peers: _Peers) -> NodeSettings:
+    swim = SwimSettings(period_us=peers.ping_ms * MS, timeout_us=peers.ping_timeout_ms * MS)
+    return NodeSettings(
+        exchange_us=peers.exchange_ms * MS, rate=peers.rate_kib * 1024, burst=2 * peers.rate_kib * 1024,
+        asked=peers.ask, relay=peers.relay, swim=swim)
+
+
+def _learning(given: _Learning) -> LearningSettings:
+    half_lives = default_half_lives()
+    topics = {topic.name.lower(): int(topic) for topic in Topic}
+    for key, seconds in given.half_lives_s.items():
+        if key not in topics:
+            raise ConfigError(f"learning.half_lives_s.{key}: is none of {', '.join(topics)}")
+        half_lives[topics[key]] = seconds * 1_000_000
+    return LearningSettings(
+        half_lives, given.clamp, given.alone, given.witnesses, given.most_facts,
+        shun=timedelta(milliseconds=given.shun_ms), enabled=given.enabled)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -1,14 +1,12 @@
 """Stand-ins on loopback sockets, and a program among them; shared by the tests of the real scheduler."""
 
 import asyncio
-import heapq
-import itertools
 import json
 from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from contextlib import asynccontextmanager, suppress
 from dataclasses import replace
-from datetime import UTC, datetime, timedelta
+from datetime import timedelta
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -16,10 +14,9 @@
 from tornado.testing import bind_unused_port
 
 from hazellead.__main__ import Program
-from hazellead.core.clock import EPOCH, to_us
-from hazellead.gearman import config as gearman_config
 from hazellead.gearman.packets import Packet, Parser, Type, write
 from hazellead.limits import Limits
+from hazellead.operators import load
 
 ROOT = Path(__file__).parents[1]
 STEADY = settings(derandomize=True, deadline=None, max_examples=50, stateful_step_count=30)
@@ -46,35 +43,6 @@
         await asyncio.sleep(0.005)
 
 
-class VirtualTime:
-    """A clock and the timers of a loop, moved by hand."""
-
-    def __init__(self) -> None:
-        self.time, self.timers, self.count = datetime(2026, 1, 1, tzinfo=UTC), list[Any](), itertools.count()
-
-    def now(self) -> datetime:
-        return self.time
-
-    def now_us(self) -> int:
-        return to_us(self.time - EPOCH)
-
-    def add_timeout(self, span: timedelta, call: Callable[..., Any], *args: Any) -> object:
-        timer = [self.time + max(span, timedelta(0)), next(self.count), call, args]
-        heapq.heappush(self.timers, timer)
-        return timer
-
-    def remove_timeout(self, timer: Any) -> None:
-        timer[2] = lambda *_: None
-
-    def run(self, span: timedelta) -> None:
-        """Let so much time pass."""
-        end = self.time + span
-        while self.timers and self.timers[0][0] <= end:
-            self.time, _, call, args = heapq.heappop(self.timers)
-            call(*args)
-        self.time = end
-
-
 class Answers:
     """A client's reply that notes what it is told."""
 
@@ -113,8 +81,10 @@
                          ("deadline_ms = 5000", f"deadline_ms = {deadline}")):
             text = text.replace(old, new)
         operators.write_text(text)
-        given = gearman_config.load(operators, {})
-        given = replace(given, base=replace(given.base, limits=replace(given.base.limits, **limits)))
+        given = load(operators, {})
+        assert given.gearman
+        base = replace(given.base, limits=replace(given.base.limits, **limits))
+        given = replace(given, base=base, gearman=replace(given.gearman, base=base))
         self.program = Program(given.base, given)
 
     def rewrite(self, inventory: str) -> None:
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -13,7 +13,10 @@
 
 
 def test_dependencies_point_inward() -> None:
-    inner = {"core": "net|platform|gearman", "net": "platform|gearman", "platform": "gearman"}
+    fronts = "platform|gearman|peers|snapshots|lab"
+    inner = {"decide": f"core|net|learning|{fronts}", "core": f"net|learning|{fronts}", "net": fronts,
+             "learning": f"net|{fronts}", "platform": "gearman|peers|snapshots|lab|learning",
+             "gearman": "peers|snapshots|lab|learning", "peers": "gearman|lab", "snapshots": "peers|lab|net"}
     for part, outer in inner.items():
         for path in (ROOT / "hazellead" / part).glob("*.py"):
             assert not re.search(rf"(?:from|import) hazellead\.(?:{outer})\b", path.read_text()), path
--- a/tests/test_gearman_front.py
+++ b/tests/test_gearman_front.py
@@ -19,8 +19,8 @@
     workers,
 )
 
-from hazellead.gearman import config as gearman_config
 from hazellead.gearman.packets import Type
+from hazellead.operators import load
 from hazellead.platform.config import ConfigError
 
 FINAL = (Type.WORK_COMPLETE, Type.WORK_FAIL)
@@ -160,7 +160,7 @@
 
             def reload(new: str) -> None:
                 operators.write_text(new)
-                given = gearman_config.load(operators, {})
+                given = load(operators, {})
                 s.program.reload(given.base, given)
 
             (tmp_path / "new.csv").write_text("name,address\nhttp-1,nowhere,1\n")
--- a/tests/test_gearman_parts.py
+++ b/tests/test_gearman_parts.py
@@ -10,15 +10,17 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
-from loopback import ROOT, STEADY, VirtualTime, run
+from loopback import ROOT, STEADY, run
 
 from hazellead.core.jobs import Attempt, Job
 from hazellead.decide import interface as api
 from hazellead.decide.interface import Outcome, Phase
-from hazellead.gearman import config, inventory, workers
+from hazellead.gearman import inventory, workers
 from hazellead.gearman.jobs import JobTable, Ticket
 from hazellead.gearman.packets import ARGUMENTS, Packet, PacketError, Parser, Type, write
+from hazellead.lab.time import VirtualTime
 from hazellead.limits import Limits
+from hazellead.operators import load
 from hazellead.platform.config import ConfigError, Names
 
 WORDS = st.binary(max_size=40).map(lambda b: b.replace(b"\0", b""))
@@ -346,13 +348,13 @@
     assert old in text
     (tmp_path / "g.toml").write_text(text.replace(old, new))
     with pytest.raises(ConfigError, match=words):
-        config.load(tmp_path / "g.toml", {})
+        load(tmp_path / "g.toml", {})
 
 
 def test_a_function_with_a_deadline_of_its_own_is_a_class_of_its_own(tmp_path: Path) -> None:
     text = (ROOT / "deploy/gearman.toml").read_text().replace("deadline_ms = 5000", "deadline_ms = 300")
     (tmp_path / "g.toml").write_text(text)
-    given = config.load(tmp_path / "g.toml", {})
+    given = load(tmp_path / "g.toml", {})
     classes = given.base.settings.classes
     assert [c.deadline_us for c in classes] == [5_000_000, 300_000]
-    assert [f.job_class for f in given.functions.values()] == [1, 0]
+    assert [f.job_class for f in given.gearman.functions.values()] == [1, 0]
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -135,8 +135,10 @@
     run(case())
 
 
-def test_the_platforms_start_waits_for_none_of_the_gearman_fronts_libraries() -> None:
-    code = "import sys, hazellead.__main__; print([m for m in sys.modules if 'gearman' in m or m == 'yaml'])"
+def test_the_platforms_start_waits_for_nothing_that_an_operators_file_turns_on() -> None:
+    parts = {"gearman", "yaml", "peers", "learning", "snapshots", "lab", "known", "msgspec", "xxhash",
+             "cryptography"}
+    code = f"import sys, hazellead.__main__; print([m for m in sys.modules if set(m.split('.')) & {parts}])"
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
     assert done.stdout.strip() == "[]"
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -6,11 +6,12 @@
 from helpers import BASE
 from hypothesis import strategies as st
 from hypothesis.stateful import Bundle, RuleBasedStateMachine, consumes, invariant, rule
-from loopback import STEADY, Answers, VirtualTime
+from loopback import STEADY, Answers
 
 from hazellead.core.jobs import Attempt, Job
 from hazellead.core.scheduler import Scheduler
 from hazellead.decide import interface as api
+from hazellead.lab.time import VirtualTime
 from hazellead.limits import Limits
 
 SITE = api.Settings(
