Take out what nothing reads: counters, a mode and a field; read [learning] once

Need: the change left state that nothing reads (two counters of a tally, a member's suspicions, a mode of the mesh that no run uses, a parameter) and read one table of the operator's file twice.

Change: they are gone, and the table is read once. Behaviour is the same.

--- a/hazellead/lab/mesh.py
+++ b/hazellead/lab/mesh.py
@@ -6,7 +6,7 @@
 
 from hazellead.lab.time import Timer, VirtualTime
 from hazellead.learning.facts import LearningSettings, default_half_lives
-from hazellead.peers.messages import Message, Reader, encode
+from hazellead.peers.messages import Reader, encode
 from hazellead.peers.node import Node, NodeSettings
 from hazellead.peers.swim import Out
 
@@ -44,13 +44,13 @@
 
     def __init__(
         self, time: VirtualTime, seed: int, settings: NodeSettings | None = None,
-        learning: LearningSettings | None = None, network: MeshNetwork | None = None, *, coded: bool = True,
+        learning: LearningSettings | None = None, network: MeshNetwork | None = None,
     ) -> None:
-        """Start empty. ``coded`` False counts sizes now and then only, for large runs."""
+        """Start empty."""
         self.time, self.rng = time, Random(f"mesh {seed}")
         self.settings = settings or NodeSettings()
         self.learning = learning or LearningSettings(default_half_lives())
-        self.network, self.coded = network or MeshNetwork(), coded
+        self.network = network or MeshNetwork()
         self.peers: dict[str, Peer] = {}
         self._clocks: dict[str, int] = {}
         self.deaths: list[tuple[int, str, str]] = []  # when, who says so, of whom
@@ -113,16 +113,15 @@
             if target is None or target.side != peer.side or self.rng.random() < self.network.loss:
                 continue
             wait = self.rng.uniform(*self.network.delay_us)
-            self.time.after(wait, self._arrive, target, peer.node.name, data if self.coded else message)
+            self.time.after(wait, self._arrive, target, peer.node.name, data)
 
-    def _arrive(self, target: Peer, sender: str, data: bytes | Message) -> None:
+    def _arrive(self, target: Peer, sender: str, data: bytes) -> None:
         if not target.up:
             return
         if target.slow_us > self.time.now_us():
             self.time.after(target.slow_us - self.time.now_us(), self._arrive, target, sender, data)
             return
-        messages = target.reader.feed(data) if isinstance(data, bytes) else [data]
-        for message in messages:
+        for message in target.reader.feed(data):
             self._send(target, target.node.receive(self._now(target), sender, message))
         self._after(target)
 
--- a/hazellead/lab/world.py
+++ b/hazellead/lab/world.py
@@ -6,7 +6,6 @@
 """
 
 import math
-from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
@@ -60,10 +59,8 @@
 
 @dataclass(slots=True)
 class Tally:
-    """Jobs by the second of their first arrival."""
+    """Jobs by their first arrival."""
 
-    asked: dict[int, int] = field(default_factory=lambda: defaultdict(int))
-    in_time: dict[int, int] = field(default_factory=lambda: defaultdict(int))
     points: list[tuple[int, bool]] = field(default_factory=list)  # arrival and whether it was in time
 
     def share(self, from_s: float, to_s: float) -> float:
@@ -311,7 +308,6 @@
     def arrive(self, job: Arriving, at_us: int) -> None:
         """Take one client's job to the scheduler."""
         client = _Client(self, job, at_us)
-        self.tally.asked[at_us // US] += 1
         self.ask(client)
 
     def ask(self, client: _Client) -> None:
--- a/hazellead/learning/store.py
+++ b/hazellead/learning/store.py
@@ -162,7 +162,7 @@
                 continue
             life = self._lives.get(origin)
             if life is None:
-                if len(self._lives) >= self.settings.most_origins and not self._drop_origin(now):
+                if len(self._lives) >= self.settings.most_origins and not self._drop_origin():
                     continue
                 life = self._lives[origin] = _Life()
             if batch.seq <= life.seq or not 0 < batch.seq < 1 << 62:
@@ -205,7 +205,7 @@
 
     # Bounds.
 
-    def _drop_origin(self, now: int) -> bool:
+    def _drop_origin(self) -> bool:
         """Make room for an origin: the one heard longest ago that holds nothing of weight any more."""
         others = [o for o in self._lives if o != self.me]
         oldest = min(others, key=lambda o: (bool(self._lives[o].facts), self._lives[o].heard), default=None)
--- a/hazellead/peers/config.py
+++ b/hazellead/peers/config.py
@@ -104,9 +104,8 @@
     if not name:
         raise ConfigError("name: an instance that learns needs one")
     peers = _read("peers", _Peers, given["peers"]) if "peers" in given else None
-    learning = _learning(_read("learning", _Learning, given.get("learning", {})))
+    learning = _read("learning", _Learning, given.get("learning", {}))
     snapshot = _read("snapshot", _Snapshot, given["snapshot"]) if "snapshot" in given else None
-    every = timedelta(milliseconds=_read("learning", _Learning, given.get("learning", {})).every_ms)
     if peers:
         _check(peers, name)
     listen = address(peers.listen, "peers.listen") if peers else None
@@ -119,7 +118,8 @@
         keys=KeyFiles(folder / tls.ca, folder / tls.cert, folder / tls.key) if tls else None,
         warn=timedelta(days=tls.warn_days if tls else 14),
         start=timedelta(milliseconds=peers.start_ms if peers else 0),
-        node=_node(peers) if peers else NodeSettings(), learning=learning, every=every,
+        node=_node(peers) if peers else NodeSettings(), learning=_learning(learning),
+        every=timedelta(milliseconds=learning.every_ms),
         snapshot=folder / snapshot.path if snapshot else None,
         snapshot_every=timedelta(seconds=snapshot.every_s if snapshot else 10),
         snapshot_oldest=timedelta(seconds=snapshot.oldest_s if snapshot else 3600))
--- a/hazellead/peers/swim.py
+++ b/hazellead/peers/swim.py
@@ -60,7 +60,6 @@
     incarnation: int
     standing: Standing
     since: int
-    suspected_by: frozenset[str] = frozenset()
 
     @property
     def there(self) -> bool:
