Add the second address with figures and health, and draining by one life cycle

Change: console/ (counters, text, front), lifecycle/ (the machine; fronts keep no flags any more), descriptors set aside in limits, Tally and Counted in the core, the module's avoided().

--- a/hazellead/__main__.py
+++ b/hazellead/__main__.py
@@ -15,8 +15,11 @@
 from tornado.ioloop import IOLoop, PeriodicCallback
 from tornado.tcpserver import TCPServer
 
+from hazellead.console.figures import Figures, Gauges
+from hazellead.console.front import Console
 from hazellead.core.clock import Clock
 from hazellead.core.scheduler import Scheduler
+from hazellead.lifecycle.machine import LifeCycle, Pace, Phase
 from hazellead.net.server import HttpServer
 from hazellead.platform import config
 from hazellead.platform.clients import Front
@@ -62,14 +65,18 @@
         """Put the parts together and listen. Jobs are taken from now on, but it is ready after ``start``."""
         self.given, self.operators = given, operators
         clock, self.limits = Clock(), given.limits
-        self.clock = clock
-        self.scheduler = Scheduler(given.settings, given.seed, given.limits, clock, IOLoop.current())
+        self.clock, limits = clock, given.limits
+        self.life = LifeCycle(Pace(limits.drain_settle, limits.drain_take, limits.serve_on), clock.now())
+        self.figures = Figures()
+        self.figures.serve(given.names.classes)
+        self.scheduler = Scheduler(
+            given.settings, given.seed, given.limits, clock, IOLoop.current(), self.figures)
         self.watch, self.gearman = None, None
         self.peers: PeerService | None = None
         if operators and operators.gearman:
             from hazellead.gearman.assembly import GearmanFront
 
-            self.gearman = GearmanFront(operators.gearman, self.scheduler, clock)
+            self.gearman = GearmanFront(operators.gearman, self.scheduler, clock, self.takes_jobs)
             workers = self.gearman.http
         else:
             if given.discovery is None:
@@ -78,13 +85,21 @@
                 given.discovery, given.names, given.limits, given.known, self.scheduler.listed)
             workers = HttpWorkers(self.watch, given.limits, clock)
             self.scheduler.connect(workers, self.watch)
-        self.front = Front(self.scheduler, given.names, workers.call_back)
-        self.server = HttpServer(given.limits, clock, self.front.handle)
+        self.front = Front(
+            self.scheduler, given.names, workers.call_back, lambda: self.life.up, self.takes_jobs)
+        self.server = HttpServer(
+            given.limits, clock, self.front.handle, lambda: self.life.ends_connections(clock.now()))
+        self.console: HttpServer | None = None
+        if given.console:
+            console_limits = given.limits.for_console()
+            self.console = HttpServer(console_limits, clock, Console(self).handle, lambda: True)
+            listen(self.console, given.console, console_limits.backlog)
         listen(self.server, given.listen, self.limits.backlog)
         if operators and operators.gearman and self.gearman:
             listen(self.gearman.server, operators.gearman.listen, self.limits.backlog)
         self.sweeper = PeriodicCallback(workers.pool.sweep, self.limits.sweep)
         self.sweeper.start()
+        self.drainer = PeriodicCallback(self._end_idle, self.limits.drain_look)
         if operators and operators.peers:
             from hazellead.peers.assembly import assemble
 
@@ -94,10 +109,45 @@
         """Learn from others where that is set, but only so long; then be ready."""
         if self.peers:
             await self.peers.start()
-        self.front.ready = True
+        self.life.start(self.clock.now())
         given = self.given
         log.info("ready", name=given.name, listen=f"{given.listen[0]}:{given.listen[1]}")
 
+    def takes_jobs(self) -> bool:
+        """Say whether a job that comes now is taken."""
+        return self.life.takes_jobs(self.clock.now())
+
+    # What the console asks for.
+
+    def healthy(self) -> bool:
+        """Say whether this process takes clients."""
+        return self.life.healthy
+
+    def stats(self) -> str:
+        """Return the figures."""
+        listed, avoided = self.scheduler.listed_workers
+        return self.figures.text(Gauges(self.scheduler.held, listed, avoided))
+
+    def quiesce(self) -> bool:
+        """Empty the scheduler; say whether that is what it now does."""
+        if self.life.quiesce(self.clock.now()):
+            log.info("quiesced", held=self.scheduler.held)
+            self.drainer.start()
+        return self.life.phase is Phase.QUIESCED
+
+    def resume(self) -> bool:
+        """Go back to work; say whether it is at work."""
+        if self.life.resume(self.clock.now()):
+            log.info("resumed")
+            self.drainer.stop()
+        return self.life.phase is Phase.READY
+
+    def _end_idle(self) -> None:
+        if self.life.ends_idle(self.clock.now()):
+            self.server.end_idle()
+            if self.gearman:
+                self.gearman.end_idle()
+
     def reload(self, given: config.Config, operators: "Operators | None") -> None:
         """Bring a new configuration in force, as far as that goes while jobs are under way."""
         kept = config.fixed(self.given, given)
@@ -127,13 +177,13 @@
         ones to a scheduler that is ending: to close early would leave them nowhere to go.
         """
         log.info("stopping", held=self.scheduler.held)
-        self.front.ready = False
-        self.scheduler.end_by(self.clock.now() + self.limits.answer_by)
-        await asyncio.sleep(self.limits.serve_on.total_seconds())
-        self.front.refusing = self.server.ending = True
+        now = self.clock.now()
+        self.life.end(now)
+        self.scheduler.end_by(now + self.limits.answer_by)
+        self.drainer.start()
+        while self.takes_jobs():
+            await asyncio.sleep(self.limits.drain_look.total_seconds())
         self.server.close_idle()
-        if self.gearman:
-            self.gearman.refuse()
         # The listeners stay open meanwhile: call-backs and Gearman workers' reports arrive there.
         empty = asyncio.Event()
         self.scheduler.when_empty(empty.set)
@@ -146,6 +196,9 @@
         if self.peers:
             await self.peers.stop()
         self.sweeper.stop()
+        self.drainer.stop()
+        if self.console:
+            await self.console.finish()
         log.info("stopped")
 
 
@@ -170,7 +223,9 @@
     def reload() -> None:
         try:
             program.reload(*load(operators_file))
+            program.figures.reloaded(taken=True)
         except config.ConfigError as error:
+            program.figures.reloaded(taken=False)
             # Guards a running scheduler against a broken file: what is in force stays so.
             log.error("config_kept", reason=str(error))
 
--- a/hazellead/core/jobs.py
+++ b/hazellead/core/jobs.py
@@ -21,6 +21,7 @@
     slots: float = 1.0
     function: str = ""  # its name among Gearman speakers
     unique: str = ""  # the key its Gearman client gave
+    class_name: str = ""  # what the settings it came under call its class
 
 
 class ClientReply(Protocol):
@@ -67,6 +68,10 @@
         """
         return self.outcome is None and self._host.open_to_work(self.worker)
 
+    def written(self) -> None:
+        """Report that its last byte has gone out."""
+        self._host.attempt_written()
+
     def began(self) -> None:
         """Report that the worker is at it."""
         if self.outcome is None:
@@ -95,6 +100,9 @@
     def open_to_work(self, worker: int) -> bool:
         """Say whether a worker may be sent new work."""
 
+    def attempt_written(self) -> None:
+        """Take in that one was written whole."""
+
     def attempt_began(self, attempt: Attempt) -> None:
         """Take in a start."""
 
@@ -108,6 +116,42 @@
         """Take in the end."""
 
 
+class Tally(Protocol):
+    """Counts what has become of jobs; every front's go through here."""
+
+    def ended(self, class_name: str, end: str) -> None:
+        """Count a job's final answer: success, overload (refused) or error."""
+
+    def dispatched(self) -> None:
+        """Count an attempt written whole to a worker."""
+
+
+class Counted:
+    """A client's reply whose final answer is counted."""
+
+    __slots__ = ("_name", "_reply", "_tally", "began", "partial", "progressed")
+
+    def __init__(self, reply: ClientReply, tally: Tally, class_name: str) -> None:
+        """Count for this class."""
+        self._reply, self._tally, self._name = reply, tally, class_name
+        self.began, self.progressed, self.partial = reply.began, reply.progressed, reply.partial
+
+    def served(self, result: bytes) -> None:
+        """Hand over a worker's result."""
+        self._tally.ended(self._name, "success")
+        self._reply.served(result)
+
+    def refused(self, retry_after: timedelta) -> None:
+        """Turn the job away."""
+        self._tally.ended(self._name, "overload")
+        self._reply.refused(retry_after)
+
+    def failed(self, reason: str) -> None:
+        """Say that it failed."""
+        self._tally.ended(self._name, "error")
+        self._reply.failed(reason)
+
+
 class WorkerTransport(Protocol):
     """Carries attempts to workers; calls ``end`` on each unless given it up first."""
 
--- a/hazellead/core/scheduler.py
+++ b/hazellead/core/scheduler.py
@@ -10,7 +10,7 @@
 from tornado.ioloop import IOLoop
 
 from hazellead.core.clock import Clock, span, to_us
-from hazellead.core.jobs import Attempt, ClientReply, Job, WorkerDirectory, WorkerTransport
+from hazellead.core.jobs import Attempt, ClientReply, Counted, Job, Tally, WorkerDirectory, WorkerTransport
 from hazellead.decide import interface as api
 from hazellead.decide.choice import Dispatcher
 from hazellead.limits import Limits
@@ -36,9 +36,11 @@
 
     def __init__(
         self, settings: api.Settings, seed: int, limits: Limits, clock: Clock, loop: IOLoop,
+        tally: Tally | None = None,
     ) -> None:
         """Set up; ``connect`` must follow before the first event."""
         self.settings, self.limits, self._clock, self._loop = settings, limits, clock, loop
+        self._tally = tally
         self._dispatcher = Dispatcher(settings, seed)
         self._requests: dict[int, _Request] = {}
         self._identities: set[str] = set()
@@ -75,9 +77,16 @@
         """
         return identity in self._identities or identity in self._ended
 
+    def refuse(self, job: Job, reply: ClientReply) -> None:
+        """Turn a job away that a front does not want to bring."""
+        if self._tally:
+            self._tally.ended(job.class_name, "overload")
+        reply.refused(self.limits.busy_retry)
+
     def submit(self, job: Job, reply: ClientReply) -> int:
         """Take a job in and return the number by which it can be abandoned."""
         self._count += 1
+        reply = Counted(reply, self._tally, job.class_name) if self._tally else reply
         if job.identity in self._identities:
             # Guards against posting twice: the same id again may concern a job that runs at this moment.
             reply.failed("this id is being worked on")
@@ -165,8 +174,19 @@
             self._step()
         self._dispatcher.learn(known)
 
+    @property
+    def listed_workers(self) -> tuple[int, int]:
+        """Return how many workers are in the list, and how many of them the module now avoids."""
+        there = [e.worker for e in self._listed.values() if e.phase is not api.Phase.GONE]
+        return len(there), len(self._dispatcher.avoided().intersection(there))
+
     # From attempts.
 
+    def attempt_written(self) -> None:
+        """Count it."""
+        if self._tally:
+            self._tally.dispatched()
+
     def attempt_began(self, attempt: Attempt) -> None:
         """Pass a start on to the module and the client."""
         self._put(api.JobBegan(attempt.request, attempt.number, attempt.worker))
--- a/hazellead/decide/choice.py
+++ b/hazellead/decide/choice.py
@@ -187,6 +187,10 @@
             tuple(Estimate(m.value, m.count, self.now) for m in self.ran), tuple(demand),
             Estimate(self.factor, min(m.count for m in self.ran), self.now))
 
+    def avoided(self) -> set[int]:
+        """Return the workers that get no ordinary jobs at present: they drain, are gone, or are doubted."""
+        return set(self.workers) - {w.entry.worker for w in self.near + self.far if self._doubt(w) < TRUST}
+
     def learn(self, known: "seen.Known") -> None:
         """Take over what others have seen: as a start that our own evidence outweighs, and caution at once.
 
--- a/hazellead/gearman/assembly.py
+++ b/hazellead/gearman/assembly.py
@@ -47,7 +47,9 @@
 class GearmanFront:
     """The second front, with its own directory of workers."""
 
-    def __init__(self, given: GearmanConfig, scheduler: Scheduler, clock: Clock) -> None:
+    def __init__(
+        self, given: GearmanConfig, scheduler: Scheduler, clock: Clock, takes_jobs: Callable[[], bool],
+    ) -> None:
         """Read the inventory and connect the scheduler."""
         limits = given.base.limits
         self.workers = GearmanWorkers(
@@ -56,7 +58,8 @@
             given.inventory, given.base.names, limits, clock, scheduler.listed, self.workers.recheck)
         self.http = HttpWorkers(self.inventory, limits, clock)
         scheduler.connect(Transports(self.inventory, self.http, self.workers), self.inventory)
-        self.submissions = Submissions(scheduler, JobTable(given.base.name, limits, clock), given.functions)
+        self.submissions = Submissions(
+            scheduler, JobTable(given.base.name, limits, clock), given.functions, takes_jobs)
         self.server = GearmanServer(limits, clock, self.submissions, self.workers)
 
     def _present(self, name: str, there: bool) -> None:
@@ -74,9 +77,9 @@
             return []
         return ["gearman.functions"] if given.functions != self.submissions.functions else []
 
-    def refuse(self) -> None:
-        """Take no more jobs."""
-        self.submissions.refusing = True
+    def end_idle(self) -> None:
+        """End the connections of clients that wait for nothing; workers' stay."""
+        self.server.end_idle()
 
     async def finish(self) -> None:
         """End every connection."""
--- a/hazellead/gearman/clients.py
+++ b/hazellead/gearman/clients.py
@@ -30,10 +30,13 @@
 class Submissions:
     """Takes jobs in for all Gearman clients."""
 
-    def __init__(self, scheduler: Scheduler, table: JobTable, functions: Mapping[str, Function]) -> None:
+    def __init__(
+        self, scheduler: Scheduler, table: JobTable, functions: Mapping[str, Function],
+        takes_jobs: Callable[[], bool],
+    ) -> None:
         """Serve the functions that the operator lists."""
         self._scheduler, self.table, self.functions = scheduler, table, functions
-        self.refusing = False
+        self._takes_jobs = takes_jobs
 
     def submit(self, client: "ClientSession", packet: Packet) -> None:
         """Start a job, join a live one or replay an outcome."""
@@ -63,11 +66,12 @@
             client.waits_for(ticket)
         if not fresh:
             return
-        if self.refusing:
-            ticket.refused(self._scheduler.limits.busy_retry)
-            return
         job = Job(uuid.uuid4().hex, f"/{function.class_name}", data, function.job_class, function.tenant,
-                  function.deadline, function=function.name, unique=unique.decode("latin-1"))
+                  function.deadline, function=function.name, unique=unique.decode("latin-1"),
+                  class_name=function.class_name)
+        if not self._takes_jobs():
+            self._scheduler.refuse(job, ticket)
+            return
         ticket.number = self._scheduler.submit(job, ticket)
 
     def leave(self, client: "ClientSession", tickets: set[Ticket]) -> None:
@@ -124,6 +128,11 @@
             waiting = len(ticket.listeners) if ticket else 0
             self.send(Type.STATUS_RES_UNIQUE, packet.args[0], *self._status(ticket), b"%d" % waiting)
 
+    @property
+    def waits(self) -> bool:
+        """Say whether it is still owed the end of a job."""
+        return any(not ticket.over for ticket in self._tickets)
+
     def lost(self) -> None:
         """End with its connection."""
         self._submissions.leave(self, self._tickets)
--- a/hazellead/gearman/server.py
+++ b/hazellead/gearman/server.py
@@ -15,7 +15,7 @@
 from hazellead.gearman.packets import Packet, PacketError, Parser, Type, write
 from hazellead.gearman.workers import GearmanWorkers, WorkerSession
 from hazellead.limits import Limits
-from hazellead.net.streams import close_gently, within
+from hazellead.net.streams import alive, close_gently, within
 
 log = structlog.get_logger()
 
@@ -86,6 +86,12 @@
             await within(self._server.limits.linger, self._stream.write(b""))
         self._stream.close()
 
+    def end_if_idle(self) -> None:
+        """End a client's connection on which nothing is under way."""
+        quiet = self._parser.empty and not self._stream.writing() and not self.client.waits
+        if quiet and not self.worker.abilities and alive(self._stream):
+            self._stream.close()
+
     def drop(self) -> None:
         """End the connection at once."""
         self._stream.close()
@@ -156,6 +162,14 @@
         silent.drop()
         return True
 
+    def end_idle(self) -> None:
+        """End the connections that neither wait for a job's end nor serve as a worker's.
+
+        Gently: what a client wrote as it was ended is not answered, and it tries elsewhere.
+        """
+        for connection in list(self.open):
+            connection.end_if_idle()
+
     async def finish(self) -> None:
         """Accept no more and end every connection once its answers are written."""
         self.stop()
--- a/hazellead/gearman/workers.py
+++ b/hazellead/gearman/workers.py
@@ -88,6 +88,7 @@
             attempt.end(Outcome.CONNECT_FAILED)
             return
         self.running[handle] = attempt
+        attempt.written()
         attempt.began()
         if limit := self.abilities.get(job.function):
             self._workers.loop.add_timeout(limit, self._expire, handle)
--- /dev/null
+++ b/hazellead/lifecycle/machine.py
@@ -0,0 +1,99 @@
+"""The one owner of what ``/up`` and health say and of whether jobs are taken. No I/O, no clock."""
+
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+from enum import Enum
+
+
+class Phase(Enum):
+    """Where a process stands in its life."""
+
+    STARTING = "starting"
+    READY = "ready"
+    QUIESCED = "quiesced"  # being emptied by the operators, who may call it back to work
+    HANDED_OVER = "handed over"  # another process serves at this address; what is open here goes on
+    ENDING = "ending"
+
+
+@dataclass(slots=True, frozen=True)
+class Pace:
+    """How long each step of emptying a scheduler takes."""
+
+    settle: timedelta  # after a quiesce, before idle connections are ended: the front still sends some here
+    take: timedelta  # after a quiesce, how long jobs are taken
+    serve_on: timedelta  # after the end was called, how long jobs are taken
+
+
+class LifeCycle:
+    """A machine over ``Phase``. Each call says whether it changed anything; to repeat one is harmless."""
+
+    def __init__(self, pace: Pace, now: datetime) -> None:
+        """Begin as starting."""
+        self._pace, self.phase, self._since = pace, Phase.STARTING, now
+        self._until: datetime | None = None  # jobs are taken until then; None: for ever
+        self.succeeded = False  # another process serves at this address
+
+    def _enter(self, phase: Phase, now: datetime, until: datetime | None) -> bool:
+        self.phase, self._since, self._until = phase, now, until
+        return True
+
+    def start(self, now: datetime) -> bool:
+        """Become ready."""
+        return self.phase is Phase.STARTING and self._enter(Phase.READY, now, None)
+
+    def quiesce(self, now: datetime) -> bool:
+        """Begin to empty the scheduler."""
+        return self.phase is Phase.READY and self._enter(Phase.QUIESCED, now, now + self._pace.take)
+
+    def resume(self, now: datetime) -> bool:
+        """Go back to work."""
+        return self.phase is Phase.QUIESCED and self._enter(Phase.READY, now, None)
+
+    def hand_over(self, now: datetime) -> bool:
+        """Leave the address to another process."""
+        if self.phase not in (Phase.READY, Phase.QUIESCED):
+            return False
+        self.succeeded = True
+        return self._enter(Phase.HANDED_OVER, now, None)
+
+    def end(self, now: datetime) -> bool:
+        """Begin to end: jobs are taken on for a while, unless a quiesce has said otherwise."""
+        if self.phase is Phase.ENDING:
+            return False
+        until = now + self._pace.serve_on
+        return self._enter(Phase.ENDING, now, min(until, self._until or until))
+
+    @property
+    def up(self) -> bool:
+        """Say whether the front is to send clients to this address."""
+        return self.phase is Phase.READY or self.succeeded
+
+    @property
+    def healthy(self) -> bool:
+        """Say whether this process serves clients; one that is being emptied still does."""
+        return self.phase in (Phase.READY, Phase.QUIESCED)
+
+    @property
+    def ends(self) -> bool:
+        """Say whether the process is on its way out."""
+        return self.phase is Phase.ENDING
+
+    def takes_jobs(self, now: datetime) -> bool:
+        """Say whether a job that comes now is taken; else it is refused, and may be tried elsewhere."""
+        return self._until is None or now < self._until
+
+    def ends_connections(self, now: datetime) -> bool:
+        """Say whether an answer is the last on its connection.
+
+        After the end was called that waits for as long as jobs are taken: where schedulers restart one after
+        another, clients may have nowhere else to go.
+        """
+        if self.phase is Phase.ENDING and not self.succeeded:
+            return not self.takes_jobs(now)
+        return self.phase not in (Phase.STARTING, Phase.READY)
+
+    def ends_idle(self, now: datetime) -> bool:
+        """Say whether connections that carry nothing are to be ended."""
+        if self.phase is Phase.QUIESCED:
+            return now >= self._since + self._pace.settle
+        return self.phase is Phase.ENDING and (self.succeeded or not self.takes_jobs(now))
--- a/hazellead/limits.py
+++ b/hazellead/limits.py
@@ -40,6 +40,7 @@
     client_connections: int = 500
     refusals: int = 32  # connections over the limit that are still answered
     gearman_connections: int = 0
+    console_connections: int = 16  # set aside: clients cannot take them
     worker_connections: int = 300
     idle_per_worker: int = 16
     requests: int = 1000
@@ -62,12 +63,18 @@
     client_read: timedelta = timedelta(seconds=2)
     client_take: timedelta = timedelta(seconds=10)  # for taking one answer's bytes
     first_byte: timedelta = timedelta(milliseconds=100)  # after which a silent new connection can make room
+    slow: timedelta = timedelta(seconds=1)  # after which one slow to send can make room
     drain_pause: timedelta = timedelta(milliseconds=10)  # between reads of what nobody wants any more
     linger: timedelta = timedelta(seconds=1)  # for a peer to read the last answer before the close
     sweep: timedelta = timedelta(milliseconds=500)  # between looks for connections to be ended
     watch: timedelta = timedelta(seconds=6)  # a watch that falls silent is noticed this late
     fetch: timedelta = timedelta(seconds=2)  # for discovery to answer a call that does not wait
     watch_grace: timedelta = timedelta(seconds=1)  # past either, for the answer to arrive
+    # After a quiesce: when idle connections begin to be ended, since the front asks ten times a second and
+    # goes on for 0.2 s; and how long jobs are taken, so that 4 s after it none of the last 2 s is held.
+    drain_settle: timedelta = timedelta(milliseconds=500)
+    drain_take: timedelta = timedelta(milliseconds=1800)
+    drain_look: timedelta = timedelta(milliseconds=100)  # between looks for connections that have become idle
     # After SIGTERM: how long jobs are taken on, and by when the last of them is answered. A supervisor that
     # waits for less than the second before it kills must be told to wait for longer.
     serve_on: timedelta = timedelta(milliseconds=2500)
@@ -84,13 +91,15 @@
     @staticmethod
     def fit(
         sockets: int, memory_mb: int, most_held: int, connect: timedelta, worker_idle: timedelta, *,
-        longest: timedelta = _LONGEST, gearman: bool = False,
+        longest: timedelta = _LONGEST, gearman: bool = False, console: bool = False,
     ) -> "Limits":
-        """Share out descriptors and memory, keeping some for refusals, discovery and the log."""
-        usable = max(16, sockets - 64)
+        """Share out descriptors and memory, keeping some for refusals, discovery, the log and the console."""
+        apart = max(4, min(24, sockets // 16)) if console else 0
+        usable = max(16, sockets - 64 - apart)
         clients = usable * 2 // 3
         return Limits(
             buffered=max(1, (memory_mb - 24) // 4) * 1024 * KIB,
+            console_connections=apart,
             client_connections=clients // 2 if gearman else clients,
             gearman_connections=clients // 2 if gearman else 0,
             worker_connections=usable - clients,
@@ -102,6 +111,17 @@
             worker_idle=min(worker_idle / 3, timedelta(seconds=5)),
         )
 
+    def for_console(self) -> "Limits":
+        """Return the same for the console's listener.
+
+        A caller that has not said all makes room for the next at once, the silent before the slow: what one
+        has to say comes with its connection, and a crowd of slow ones must not have an honest one refused.
+        """
+        return replace(
+            self, client_connections=self.console_connections, body=4 * KIB, buffered=64 * KIB, refusals=2,
+            first_byte=timedelta(0), slow=timedelta(0), linger=timedelta(milliseconds=200),
+            client_idle=timedelta(seconds=1))
+
     def for_lists(self) -> "Limits":
         """Return the same with room for a whole worker list as the body."""
         return replace(self, body=self.worker_list)
--- a/hazellead/net/server.py
+++ b/hazellead/net/server.py
@@ -26,13 +26,14 @@
 class Exchange:
     """One request and the way to answer it. ``on_gone`` is called if the client leaves before the answer."""
 
-    __slots__ = ("answer", "message", "on_gone")
+    __slots__ = ("answer", "lasting", "message", "on_gone")
 
     def __init__(self, message: Message) -> None:
         """Start unanswered."""
         self.message = message
         self.answer: asyncio.Future[tuple[int, bytes, dict[str, str]]] = asyncio.Future()
         self.on_gone: Callable[[], None] | None = None
+        self.lasting = False  # not a client's: its connection stays while clients' are ended
 
     def respond(self, status: int, body: bytes = b"", headers: dict[str, str] | None = None) -> None:
         """Answer; of no effect once it is answered or the client has gone."""
@@ -60,6 +61,7 @@
         self.since = server.clock.now()  # of the present state
         self.exchange: Exchange | None = None  # the request in hand
         self.proven = False  # it has brought a request that could be taken
+        self.lasting = False  # the last request was not a client's
         self.weight = 0  # bytes held for it
         self.closing = self._ended = False
         self.state: State | None = None
@@ -141,7 +143,9 @@
                 await self._read()
         status, body, headers = await exchange.answer
         self.exchange = None
-        keep = message.keep and not self.closing and not self._server.ending and status not in UNUSABLE
+        self.lasting = exchange.lasting
+        ends = self._server.ends() and not self.lasting
+        keep = message.keep and not self.closing and not ends and status not in UNUSABLE
         self.proven = self.proven or status not in UNUSABLE
         await self._write(status, body, headers, keep=keep)
         self.turn(State.RESTING)
@@ -173,8 +177,14 @@
     def close_when_idle(self) -> None:
         """End the connection, after the answer if a request is in hand or on its way."""
         self.closing = True
-        if self.idle and alive(self._stream):
+        self.end_if_idle()
+
+    def end_if_idle(self) -> None:
+        """End the connection gently if it carries nothing and nothing unread has come on it."""
+        if self.idle and not self._ended and alive(self._stream):
             self._ended = True
+            self.since = self._server.clock.now()
+            self.turn(State.LINGERING)  # guards against a client that keeps its half open
             with suppress(OSError):
                 self._stream.socket.shutdown(socket.SHUT_WR)
 
@@ -206,8 +216,11 @@
 class HttpServer(TCPServer):
     """Accepts connections and bounds their number, their slowness and what they hold."""
 
-    def __init__(self, limits: Limits, clock: Clock, handler: Callable[[Exchange], None]) -> None:
-        """Hand every request to ``handler``."""
+    def __init__(
+        self, limits: Limits, clock: Clock, handler: Callable[[Exchange], None],
+        ends: Callable[[], bool] = lambda: False,
+    ) -> None:
+        """Hand every request to ``handler``; while ``ends()``, each answer ends its connection."""
         super().__init__(max_buffer_size=4 * limits.read)
         self.limits, self.clock, self.handler = limits, clock, handler
         self.connections: set[Connection] = set()
@@ -215,7 +228,7 @@
         self._refused = 0  # turned away, with their answer on its way
         self._held = 0  # bytes of requests that have not come whole
         self._retry = {"Retry-After": f"{limits.busy_retry.total_seconds():.3f}"}
-        self.ending = False  # every answer ends its connection, so that clients go elsewhere
+        self.ends = ends
         self._sweeper = PeriodicCallback(self.sweep, limits.sweep)
         self._sweeper.start()
 
@@ -243,7 +256,7 @@
         """
         now, none = self.clock.now(), timedelta(0)
         for state, least in ((State.LINGERING, none), (State.SILENT, self.limits.first_byte),
-                             (State.RESTING, none), (State.SENDING, self.limits.linger)):
+                             (State.RESTING, none), (State.SENDING, self.limits.slow)):
             victim = next(iter(self._states[state]), None)
             if victim and now - victim.since >= least:
                 victim.turn_away(408, "too slow while others wait")
@@ -304,6 +317,12 @@
             if c.exchange is None and now - c.since > c.patience:
                 c.time_out()
 
+    def end_idle(self) -> None:
+        """End clients' connections that carry nothing; to be called again while more may become so."""
+        for c in list(self.connections):
+            if not c.lasting:
+                c.end_if_idle()
+
     def close_idle(self) -> None:
         """End the connections that carry nothing, and the others after their answers."""
         for c in list(self.connections):
--- a/hazellead/operators.py
+++ b/hazellead/operators.py
@@ -14,7 +14,7 @@
     from hazellead.peers.config import PeersConfig
 
 KEYS = frozenset({"name", "listen", "discovery", "seed", "limits", "known", "settings", "gearman", "peers",
-                  "learning", "snapshot"})
+                  "learning", "snapshot", "console"})
 
 
 @dataclass(slots=True, frozen=True)
--- a/hazellead/platform/clients.py
+++ b/hazellead/platform/clients.py
@@ -65,10 +65,11 @@
 
     def __init__(
         self, scheduler: Scheduler, names: Names, report: Callable[[str, str, str, Any], None],
+        up: Callable[[], bool], takes_jobs: Callable[[], bool],
     ) -> None:
         """``report(id, sender, state, rest)`` takes in one call-back."""
         self._scheduler, self._names, self._report = scheduler, names, report
-        self.ready = self.refusing = False
+        self._up, self._takes_jobs = up, takes_jobs
 
     def handle(self, exchange: Exchange) -> None:
         """Take one request in."""
@@ -77,9 +78,10 @@
         try:
             if path == READY:
                 self._need(method, "GET")
-                exchange.respond(200 if self.ready else 503)
+                exchange.respond(200 if self._up() else 503)
             elif path == EVENTS:
                 self._need(method, "POST")
+                exchange.lasting = True
                 self._call_back(exchange.message.body)
                 exchange.respond(200)
             else:
@@ -99,8 +101,8 @@
             raise BadRequestError(404, "no such class")
         self._need(method, "POST")
         job = self._job(exchange, target, job_class)
-        if self.refusing:
-            _Reply(exchange).refused(self._scheduler.limits.busy_retry)
+        if not self._takes_jobs():
+            self._scheduler.refuse(job, _Reply(exchange))
             return
         number = self._scheduler.submit(job, _Reply(exchange))
         exchange.on_gone = lambda: self._scheduler.abandon(number)
@@ -123,7 +125,7 @@
         # Guards the timers: nobody waits longer than the class's deadline.
         return Job(identity, target, exchange.message.body, job_class, tenant, min(remaining, deadline),
                    slots=self._slots(headers.get("x-props", "")),
-                   function=self._names.classes[job_class])
+                   function=self._names.classes[job_class], class_name=self._names.classes[job_class])
 
     def _slots(self, text: str) -> float:
         props = dict(p.strip().partition("=")[::2] for p in text.split(",") if p.strip())
--- a/hazellead/platform/config.py
+++ b/hazellead/platform/config.py
@@ -76,11 +76,12 @@
     settings: Settings
     names: Names
     limits: Limits
+    console: tuple[str, int] | None = None
 
 
 def fixed(given: Config, new: Config) -> list[str]:
     """Name what a new configuration changes that counts from the next start only."""
-    return [what for what in ("name", "listen", "settings", "names", "limits")
+    return [what for what in ("name", "listen", "console", "settings", "names", "limits")
             if getattr(given, what) != getattr(new, what)]
 
 
@@ -105,6 +106,7 @@
 
 def fit_limits(
     settings: Settings, table: Mapping[str, str], sockets: int, memory_mb: int, *, gearman: bool = False,
+    console: bool = False,
 ) -> Limits:
     """Fill the limits in from what the deployment allows."""
     try:
@@ -113,7 +115,8 @@
         raise ConfigError("settings: bad setting: caps.mostHeld") from None
     connect, idle = span(settings.connect_timeout_us), span(settings.conn_idle_us)
     longest = span(max(c.deadline_us for c in settings.classes))
-    return Limits.fit(sockets, memory_mb, held, connect, idle, longest=longest, gearman=gearman)
+    return Limits.fit(sockets, memory_mb, held, connect, idle, longest=longest, gearman=gearman,
+                      console=console)
 
 
 def load(environment: Mapping[str, str] = os.environ) -> Config:
@@ -147,7 +150,8 @@
     except (TypeError, ValueError):
         raise ConfigError(f"{path}: limits are numbers and seed a hexadecimal one") from None
     discovery = given.get("discovery") or environment.get("GW_DISCOVERY")
-    fit = fit_limits(settings, table, sockets, memory_mb, gearman=gearman)
+    console = given.get("console") or environment.get("GW_CONSOLE")
+    fit = fit_limits(settings, table, sockets, memory_mb, gearman=gearman, console=bool(console))
     # The module is told how long connections are kept here, so that what it thinks of them holds.
     settings = replace(settings, conn_idle_us=to_us(fit.worker_idle))
     return Config(
@@ -156,6 +160,7 @@
         discovery=address(discovery, "discovery") if discovery else None,
         seed=seed, known=known, settings=settings, names=names,
         limits=fit,
+        console=address(console, "console") if console else None,
     )
 
 
--- a/hazellead/platform/workers.py
+++ b/hazellead/platform/workers.py
@@ -197,6 +197,7 @@
                 {"X-Trace-Id": attempt.job.identity, "X-Expires-In": f"{left}u"}, attempt.job.body))
             await writing
             written = True
+            attempt.written()
             message = await self._answer(stream, attempt)
         except asyncio.CancelledError:
             if stream:
--- /dev/null
+++ b/tests/test_console.py
@@ -0,0 +1,96 @@
+"""The console: its calls, its figures against what stand-ins counted, and its room beside bad callers."""
+
+import asyncio
+import re
+from collections import Counter
+from pathlib import Path
+
+from loopback import HttpWorker, free_port, http_post, run, until
+from test_program import HEADERS, get, program
+
+from hazellead.console.figures import Figures, Gauges
+
+
+async def ask(port: int, target: str = "/admin/stats", method: str = "GET") -> tuple[int, str]:
+    """Make one call and read to the end of the connection."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(f"{method} {target} HTTP/1.1\r\nHost: c\r\n\r\n".encode())
+    head, _, body = (await asyncio.wait_for(reader.read(), 5)).decode().partition("\r\n\r\n")
+    writer.close()
+    return int(head.split()[1]), body
+
+
+def read(text: str) -> dict[str, int]:
+    assert re.fullmatch(r"(svc\.[\w.-]+:\d+\|[cg]\n)+", text)
+    return {name: int(value) for name, value in re.findall(r"svc\.(\S+):(\d+)\|", text)}
+
+
+def test_the_figures_have_their_form_and_odd_class_names_cannot_break_it() -> None:
+    figures = Figures()
+    figures.serve(["post-payment", "a:1|c\nsvc.x"])
+    figures.ended("post-payment", "success")
+    figures.ended("refund", "overload")
+    figures.dispatched()
+    figures.reloaded(taken=True)
+    figures.reloaded(taken=False)
+    lines = figures.text(Gauges(14, 8, 2)).splitlines()
+    assert {"svc.replies.post-payment.success:1|c", "svc.replies.post-payment.error:0|c",
+            "svc.replies.refund.overload:1|c", "svc.dispatches:1|c", "svc.reload_success:1|c",
+            "svc.reload_failure:1|c", "svc.concurrent:14|g", "svc.targets:8|g",
+            "svc.targets_disabled:2|g", "svc.replies.a_1_c_svc_x.error:0|c"} <= set(lines)
+    assert len(lines) == len(set(lines)) == 15
+
+
+def test_figures_agree_with_what_clients_and_workers_counted(tmp_path: Path) -> None:
+    async def case() -> None:
+        port, console, count = free_port(), free_port(), Counter[bytes]()
+        worker = HttpWorker("s-1", count, lambda: port)
+        async with worker.serving(), program(tmp_path, port, worker, console=f"127.0.0.1:{console}"):
+            assert read((await ask(console))[1])["replies.post-payment.success"] == 0
+            seen = Counter[int]()
+            for i in range(6):
+                if i == 3:
+                    worker.states = [{"state": "failed"}]
+                seen[(await http_post(port, "/post-payment", b"%d" % i, HEADERS.format(i)))[0]] += 1
+            worker.states = [{"state": "started"}]
+            held = asyncio.ensure_future(http_post(port, "/post-payment", b"h", HEADERS.format("h")))
+            await until(lambda: count[b"h"])
+            got = read((await ask(console))[1])
+            assert seen == {200: got["replies.post-payment.success"], 502: got["replies.post-payment.error"]}
+            assert seen[200] == seen[502] == 3 and got["concurrent"] == 1 and got["targets"] == 1
+            assert got["dispatches"] == sum(count.values()) == 7 and got["targets_disabled"] == 1  # it failed
+            assert await worker.call_back("h", state="done", result="") == 200
+            await held
+            assert read((await ask(console))[1])["concurrent"] == 0
+
+    run(case())
+
+
+def test_calls_are_answered_beside_silent_callers_and_what_is_no_call_is_told_so(tmp_path: Path) -> None:
+    async def case() -> None:
+        port, console = free_port(), free_port()
+        async with program(tmp_path, port, console=f"127.0.0.1:{console}") as process:
+            silent = [await asyncio.open_connection("127.0.0.1", console) for _ in range(200)]
+            for _, writer in silent[::2]:
+                writer.write(b"GET /admin/he")
+            for _ in range(3):
+                began = asyncio.get_running_loop().time()
+                assert (await ask(console, "/admin/health"))[0] == 200
+                assert asyncio.get_running_loop().time() - began < 1
+                await asyncio.sleep(0.3)
+            assert await get(port, "/up") == 200  # clients' room is not touched
+            for status, target, method in ((404, "/admin", "GET"), (404, "/up", "GET"),
+                                           (405, "/admin/stats", "PUT"), (405, "/admin/quiesce", "GET"),
+                                           (400, "/admin/ stats", "GET")):
+                assert (await ask(console, target, method))[0] == status
+            assert (await ask(console, "/admin/resume", "PUT"))[0] == 200  # it is at work
+            assert process.returncode is None
+            for reader, writer in silent:  # all are ended on a time limit
+                with_end = asyncio.wait_for(reader.read(), 4)
+                try:
+                    await with_end
+                except ConnectionError:
+                    pass
+                writer.close()
+
+    run(case())
--- a/tests/test_gearman_front.py
+++ b/tests/test_gearman_front.py
@@ -303,9 +303,8 @@
             handle = await submit(client, b"a")
             await client.expect(Type.WORK_STATUS)
             assert s.program.gearman
-            submissions = s.program.gearman.submissions
             stopping = asyncio.ensure_future(s.program.stop())
-            await until(lambda: submissions.refusing)
+            await until(lambda: not s.program.takes_jobs())
             await submit(client, b"b")
             assert (await client.packet()).args[1].startswith(b"refused")
             assert (await client.packet()).type == Type.WORK_FAIL
--- /dev/null
+++ b/tests/test_lifecycle.py
@@ -0,0 +1,137 @@
+"""The life cycle in any order of calls, and a drain as clients see it."""
+
+import asyncio
+from collections import Counter
+from datetime import UTC, datetime, timedelta
+from pathlib import Path
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from loopback import STEADY, HttpWorker, free_port, http_message, http_post, run, until
+from test_program import HEADERS, get, program
+
+from hazellead.lifecycle.machine import LifeCycle, Pace, Phase
+from hazellead.net import http
+
+SETTLE, TAKE, SERVE = (timedelta(milliseconds=ms) for ms in (500, 1800, 2500))
+
+
+class Life(RuleBasedStateMachine):
+    """Every order of calls and pauses, against what the operators were promised."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = datetime(2026, 1, 1, tzinfo=UTC)
+        self.life = LifeCycle(Pace(SETTLE, TAKE, SERVE), self.now)
+        self.emptied: datetime | None = None  # when it was last told to empty itself, if that holds
+        self.over: datetime | None = None  # when its end was called
+        self.left = False
+
+    @rule(ms=st.sampled_from([1, 499, 501, 1300, 2600]))
+    def wait(self, ms: int) -> None:
+        self.now += timedelta(milliseconds=ms)
+
+    @rule()
+    def start(self) -> None:
+        was = self.life.phase
+        assert self.life.start(self.now) == (was is Phase.STARTING)
+        assert self.life.phase is not Phase.STARTING, "no way out of the start"
+
+    @rule()
+    def quiesce(self) -> None:
+        if self.life.quiesce(self.now):
+            assert self.life.phase is Phase.QUIESCED
+            self.emptied = self.now
+        assert not self.life.quiesce(self.now), "repeating it changed something"
+
+    @rule()
+    def resume(self) -> None:
+        if self.life.resume(self.now):
+            assert self.emptied and self.life.phase is Phase.READY
+            self.emptied = None
+        assert not self.life.resume(self.now)
+
+    @rule()
+    def hand_over(self) -> None:
+        if self.life.hand_over(self.now):
+            self.left, self.emptied = True, None
+        assert not self.life.hand_over(self.now)
+
+    @rule()
+    def end(self) -> None:
+        assert self.life.end(self.now) == (self.over is None)
+        self.over = self.over or self.now
+        assert self.life.ends
+
+    @invariant()
+    def a_yes_is_only_said_while_jobs_are_taken_here_or_by_another(self) -> None:
+        if self.life.up:
+            assert self.left or (self.life.takes_jobs(self.now) and not self.emptied and not self.over)
+        if self.life.healthy:
+            assert not self.left and not self.over
+
+    @invariant()
+    def none_is_taken_past_its_time(self) -> None:
+        takes, idle = self.life.takes_jobs(self.now), self.life.ends_idle(self.now)
+        if self.emptied and not self.over:
+            assert takes == (self.now - self.emptied < TAKE) and idle == (self.now - self.emptied >= SETTLE)
+            assert self.life.ends_connections(self.now)
+        if self.over:
+            assert not takes or self.now - self.over < SERVE
+            assert idle or (takes and not self.left), "connections that nothing will end"
+        if not (self.emptied or self.over):
+            assert takes and not idle
+
+
+Life.TestCase.settings = STEADY
+TestLife = Life.TestCase
+
+
+async def call(port: int, what: str) -> int:
+    return await get(port, f"/admin/{what}", "PUT")
+
+
+def test_a_drain_empties_the_scheduler_in_time_and_a_resume_brings_it_back(tmp_path: Path) -> None:
+    async def case() -> None:
+        port, console, count = free_port(), free_port(), Counter[bytes]()
+        worker = HttpWorker("s-1", count, lambda: port)
+        worker.states = [{"state": "started"}]
+        async with worker.serving(), program(tmp_path, port, worker, console=f"127.0.0.1:{console}"):
+            clock = asyncio.get_running_loop().time
+            pairs = [await asyncio.open_connection("127.0.0.1", port) for _ in range(3)]
+            for reader, writer in pairs:  # an idle one, one that says nothing, one with a call-back on it
+                if reader is not pairs[1][0]:
+                    target = "/up" if reader is pairs[0][0] else "/v1/job-events"
+                    body = b"" if target == "/up" else b'{"id":"9","from":"s","state":"done","result":""}'
+                    writer.write(http.request("GET" if not body else "POST", target, "x", {}, body))
+                    assert (await http_message(reader))[0].endswith("200 OK")
+            first = asyncio.ensure_future(http_post(port, "/post-payment", b"a", HEADERS.format("1")))
+            await until(lambda: count[b"a"])
+            assert await call(console, "quiesce") == await call(console, "quiesce") == 200
+            began = clock()
+            assert await get(port, "/up") == 503 and await get(console, "/admin/health") == 200
+            late = asyncio.ensure_future(http_post(port, "/post-payment", b"b", HEADERS.format("2")))
+            await until(lambda: count[b"b"])  # still taken
+            for reader, writer in pairs[:2]:
+                assert await reader.read() == b""  # ended without a reset
+                writer.close()
+            assert 0.4 < clock() - began < 1
+            await asyncio.sleep(began + 1.9 - clock())
+            status, headers, _ = await http_post(port, "/post-payment", b"c", HEADERS.format("3"))
+            assert status == 429 and headers["connection"] == "close" and float(headers["retry-after"]) > 0
+            assert not count[b"c"]
+            for identity, waiting in (("1", first), ("2", late)):
+                assert await worker.call_back(identity, state="done", result="r") == 200
+                status, headers, body = await waiting
+                assert (status, body, headers["connection"]) == (200, b"r", "close")
+            reader, writer = pairs[2]  # a worker's connection has stayed
+            writer.write(http.request("POST", "/v1/job-events", "x", {}, b"{"))
+            assert (await http_message(reader))[0].endswith("400 Bad Request")
+            writer.close()
+            assert await call(console, "resume") == await call(console, "resume") == 200
+            assert await get(port, "/up") == 200
+            worker.states = [{"state": "done"}]
+            status, headers, body = await http_post(port, "/post-payment", b"d", HEADERS.format("4"))
+            assert (status, body) == (200, b"posted d") and "connection" not in headers
+
+    run(case())
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -29,8 +29,8 @@
 
 
 @asynccontextmanager
-async def program(folder: Path, port: int, *workers: HttpWorker) -> Any:
-    (folder / "config.json").write_text(json.dumps(given(port, *workers)))
+async def program(folder: Path, port: int, *workers: HttpWorker, **more: Any) -> Any:
+    (folder / "config.json").write_text(json.dumps(given(port, *workers) | more))
     process = await asyncio.create_subprocess_exec(
         sys.executable, "-m", "hazellead", cwd=ROOT, env={"GW_CONFIG": str(folder / "config.json")},
         stderr=asyncio.subprocess.PIPE)
@@ -203,6 +203,7 @@
     ({"listen": "nowhere"}, "listen is no address"), ({"settings": None}, "settings are missing"),
     ({"seed": "x"}, "seed a hexadecimal"), ({"known": {"rev": 1}}, "known: malformed"),
     ({"settings": {**SETTINGS, "tickUs": "x"}}, "bad setting: tickUs"), ({"limits": [1]}, "objects"),
+    ({"console": "127.0.0.1"}, "console is no address"),
     ({"settings": {**SETTINGS, "caps": {}}}, "missing setting: caps.maxAttempts"),
     ({"listen": f"127.0.0.1:{TAKEN[1]}"}, "cannot listen"), (b"{", "not JSON"), (b"[]", "not an object")])
 def test_a_bad_configuration_is_one_plain_line(tmp_path: Path, change: Any, words: str) -> None:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -16,7 +16,7 @@
 from hazellead.net.http import request
 from hazellead.net.server import Connection, Exchange, HttpServer, State
 
-QUICK = Limits(body=1000, linger=timedelta(seconds=0.2))
+QUICK = Limits(body=1000, linger=timedelta(seconds=0.2), slow=timedelta(seconds=0.2))
 
 
 class Talk(RuleBasedStateMachine):
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -28,10 +28,14 @@
 
     def __init__(self) -> None:
         self.open, self.ended, self.began = True, list[tuple[Outcome | None, bytes]](), 0
+        self.written = 0
 
     def open_to_work(self, _: int) -> bool:
         return self.open
 
+    def attempt_written(self) -> None:
+        self.written += 1
+
     def attempt_began(self, _: Attempt) -> None:
         self.began += 1
 
