--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -259,7 +259,7 @@
 
 def test_one_that_is_slow_to_send_makes_room_before_a_new_one_is_refused() -> None:
     async def case() -> None:
-        server, port = serving(Limits(client_connections=1, linger=timedelta(0)))
+        server, port = serving(Limits(client_connections=1, slow=timedelta(0)))
         reader, slow = await asyncio.open_connection("127.0.0.1", port)
         slow.write(b"GET")
         await until(lambda: any(not c.idle for c in server.connections))
