--- a/hazellead/__main__.py
+++ b/hazellead/__main__.py
@@ -7,12 +7,14 @@
 import logging
 import os
 import signal
+import socket
 import sys
 from pathlib import Path
 from typing import TYPE_CHECKING
 
 import structlog
 from tornado.ioloop import IOLoop, PeriodicCallback
+from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
 
 from hazellead.console.figures import Figures, Gauges
@@ -28,8 +30,10 @@
 
 # Optional parts are imported where they are used: restarts on the platform need not wait for their libraries.
 if TYPE_CHECKING:
+    from hazellead.lifecycle.handover import Inheritance
     from hazellead.operators import Operators
     from hazellead.peers.service import PeerService
+    from hazellead.platform.estate import PlatformEstate
 
 log = structlog.get_logger()
 
@@ -50,19 +54,26 @@
     )
 
 
-def listen(server: TCPServer, address: tuple[str, int], backlog: int) -> None:
+def listen(server: TCPServer, address: tuple[str, int], backlog: int) -> list[socket.socket]:
     """Listen, or say in one line why not."""
     try:
-        server.listen(address[1], address[0], backlog=backlog)
+        sockets = bind_sockets(address[1], address[0], backlog=backlog)
     except OSError as error:
-        raise config.ConfigError(f"cannot listen at {address[0]}:{address[1]}: {error.strerror}") from None
+        raise config.ConfigError(f"cannot listen at {config.written(address)}: {error.strerror}") from None
+    server.add_sockets(sockets)
+    return sockets
 
 
 class Program:
     """One scheduler and the fronts before it."""
 
-    def __init__(self, given: config.Config, operators: "Operators | None") -> None:
-        """Put the parts together and listen. Jobs are taken from now on, but it is ready after ``start``."""
+    def __init__(
+        self, given: config.Config, operators: "Operators | None", heir: "Inheritance | None" = None,
+    ) -> None:
+        """Put the parts together and listen. Jobs are taken from now on, but it is ready after ``start``.
+
+        With an ``heir`` another process serves at the address, and is replaced in ``start``.
+        """
         self.given, self.operators = given, operators
         clock, self.limits = Clock(), given.limits
         self.clock, limits = clock, given.limits
@@ -85,8 +96,9 @@
                 given.discovery, given.names, given.limits, given.known, self.scheduler.listed)
             workers = HttpWorkers(self.watch, given.limits, clock)
             self.scheduler.connect(workers, self.watch)
-        self.front = Front(
-            self.scheduler, given.names, workers.call_back, lambda: self.life.up, self.takes_jobs)
+        self.estate: PlatformEstate | None = None
+        self.front = Front(self.scheduler, given.names, lambda *event: (
+            self.estate or workers).call_back(*event), lambda: self.life.up, self.takes_jobs)
         self.server = HttpServer(
             given.limits, clock, self.front.handle, lambda: self.life.ends_connections(clock.now()))
         self.console: HttpServer | None = None
@@ -94,7 +106,14 @@
             console_limits = given.limits.for_console()
             self.console = HttpServer(console_limits, clock, Console(self).handle, lambda: True)
             listen(self.console, given.console, console_limits.backlog)
-        listen(self.server, given.listen, self.limits.backlog)
+        if self.watch and (path := config.handover_path(given, os.environ)) and not operators:
+            from hazellead.platform import estate
+
+            self.estate = estate.PlatformEstate(
+                self.life, clock, self.scheduler, self.server, workers, self.watch, lambda: self.given.names,
+                path, lambda: listen(self.server, given.listen, given.limits.backlog), heir)
+        else:
+            listen(self.server, given.listen, self.limits.backlog)
         if operators and operators.gearman and self.gearman:
             listen(self.gearman.server, operators.gearman.listen, self.limits.backlog)
         self.sweeper = PeriodicCallback(workers.pool.sweep, self.limits.sweep)
@@ -107,11 +126,15 @@
 
     async def start(self) -> None:
         """Learn from others where that is set, but only so long; then be ready."""
+        given = self.given
         if self.peers:
             await self.peers.start()
+        if self.estate:
+            await self.estate.succeed()
         self.life.start(self.clock.now())
-        given = self.given
-        log.info("ready", name=given.name, listen=f"{given.listen[0]}:{given.listen[1]}")
+        if self.estate:
+            self.estate.bequeath()
+        log.info("ready", name=given.name, listen=config.written(given.listen))
 
     def takes_jobs(self) -> bool:
         """Say whether a job that comes now is taken."""
@@ -181,7 +204,10 @@
         self.life.end(now)
         self.scheduler.end_by(now + self.limits.answer_by)
         self.drainer.start()
-        while self.takes_jobs():
+        by = now + self.limits.answer_by
+        while self.life.succeeded and self.server.connections and self.clock.now() < by:
+            await asyncio.sleep(self.limits.drain_pause.total_seconds())  # they are answered, then passed on
+        while not self.life.succeeded and self.takes_jobs():
             await asyncio.sleep(self.limits.drain_look.total_seconds())
         self.server.close_idle()
         # The listeners stay open meanwhile: call-backs and Gearman workers' reports arrive there.
@@ -197,6 +223,8 @@
             await self.peers.stop()
         self.sweeper.stop()
         self.drainer.stop()
+        if self.estate:
+            self.estate.end()
         if self.console:
             await self.console.finish()
         log.info("stopped")
@@ -217,7 +245,13 @@
     loop, terminated = asyncio.get_running_loop(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, terminated.set)
-    program = Program(*load(operators_file))
+    given, operators = load(operators_file)
+    path, heir = config.handover_path(given, os.environ), None
+    if path and not operators and os.path.exists(path):
+        from hazellead.platform import estate
+
+        given, heir = await estate.ask(given, path)
+    program = Program(given, operators, heir)
     await program.start()
 
     def reload() -> None:
--- a/hazellead/core/scheduler.py
+++ b/hazellead/core/scheduler.py
@@ -1,7 +1,7 @@
 """Drives one ``Dispatcher``: owns its timers, the table of requests and their one final answer each."""
 
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from typing import TYPE_CHECKING
@@ -83,6 +83,16 @@
             self._tally.ended(job.class_name, "overload")
         reply.refused(self.limits.busy_retry)
 
+    def identities(self) -> tuple[list[str], list[str]]:
+        """Return the ids that are open and those that have lately ended, the oldest first."""
+        return list(self._identities), list(self._ended)
+
+    def remember(self, identities: Iterable[str]) -> None:
+        """Take these ids as used."""
+        self._ended |= dict.fromkeys(identities)
+        while len(self._ended) > self.limits.taken:
+            self._ended.popitem(last=False)
+
     def submit(self, job: Job, reply: ClientReply) -> int:
         """Take a job in and return the number by which it can be abandoned."""
         self._count += 1
--- a/hazellead/decide/known.py
+++ b/hazellead/decide/known.py
@@ -31,6 +31,7 @@
     blame: Estimate = Estimate()
     broke: Estimate = Estimate()
     drain: Estimate = Estimate()
+    spent: Estimate = Estimate()  # pushes left while it is cold, until ``at_us``; counts for a successor only
 
 
 @dataclass(slots=True, frozen=True)
--- a/hazellead/decide/records.py
+++ b/hazellead/decide/records.py
@@ -138,4 +138,5 @@
             slots=door.Estimate(self.slots, own.weight * (self.slots != self.guessed), own.at_us),
             blame=door.Estimate(self.blame, min(self.failures, 8), self.failed),
             broke=door.Estimate(1.0, self.broke > self.entry.started_us, self.broke),
-            drain=door.Estimate(1.0, draining, self.seen))
+            drain=door.Estimate(1.0, draining, self.seen),
+            spent=door.Estimate(max(0, self.tickets), self.drawn_until > 0, self.drawn_until))
--- /dev/null
+++ b/hazellead/lifecycle/channel.py
@@ -0,0 +1,153 @@
+"""A Unix stream socket that carries messages with descriptors. Imported only where it is offered."""
+
+import array
+import asyncio
+import os
+import socket
+from collections import deque
+from collections.abc import Callable, Sequence
+from contextlib import suppress
+
+from hazellead.lifecycle.messages import MOST_DESCRIPTORS, Message, MessageError, Reader, encode
+
+_READ = 64 * 1024
+_SPACE = socket.CMSG_SPACE(4 * 2 * MOST_DESCRIPTORS)
+Taker = Callable[[Message, list[socket.socket]], None]
+
+
+class Channel:
+    """One end. ``taker`` gets each message with its sockets, which are then its own to close."""
+
+    def __init__(self, sock: socket.socket, taker: Taker, ended: Callable[[str], None]) -> None:
+        """Start reading; ``ended(reason)`` is called once, when either side or an error ends it."""
+        sock.setblocking(False)
+        self._sock, self._taker, self._ended = sock, taker, ended
+        self._loop = asyncio.get_running_loop()
+        self._reader, self._came = Reader(), deque[socket.socket]()
+        self._out: deque[tuple[memoryview, list[socket.socket]]] = deque()
+        self.open = True
+        self._loop.add_reader(sock, self._readable)
+
+    @property
+    def waiting(self) -> int:
+        """Return how many messages are not written yet."""
+        return len(self._out)
+
+    def send(self, kind: str, sockets: Sequence[socket.socket] = (), **body: object) -> None:
+        """Write a message, now or when there is room; the sockets are closed here once they are written."""
+        if not self.open:
+            for sock in sockets:
+                sock.close()
+            return
+        frame = encode(Message(kind, body, len(sockets)))
+        self._out.append((memoryview(frame), list(sockets)))
+        self._writable()
+
+    def close(self, reason: str = "closed here") -> None:
+        """End the channel; what is still to be written is dropped."""
+        if not self.open:
+            return
+        self.open = False
+        self._loop.remove_reader(self._sock)
+        self._loop.remove_writer(self._sock)
+        self._sock.close()
+        for sock in [*self._came, *(s for _, some in self._out for s in some)]:
+            sock.close()
+        self._out.clear()
+        self._came.clear()
+        self._ended(reason)
+
+    def _writable(self) -> None:
+        while self.open and self._out:
+            data, sockets = self._out[0]
+            rights = [(socket.SOL_SOCKET, socket.SCM_RIGHTS,
+                       array.array("i", [s.fileno() for s in sockets]))] if sockets else []
+            try:
+                sent = self._sock.sendmsg([data], rights)
+            except BlockingIOError:
+                self._loop.add_writer(self._sock, self._writable)
+                return
+            except OSError as error:
+                self.close(f"cannot write: {error.strerror}")
+                return
+            for sock in sockets:  # they go with the first byte
+                sock.close()
+            self._out[0] = data[sent:], []
+            if sent == len(data):
+                self._out.popleft()
+        if self.open:
+            self._loop.remove_writer(self._sock)
+
+    def _readable(self) -> None:
+        try:
+            data, ancillary, flags, _ = self._sock.recvmsg(_READ, _SPACE, socket.MSG_CMSG_CLOEXEC)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self.close(f"cannot read: {error.strerror}")
+            return
+        for level, kind, raw in ancillary:
+            if (level, kind) == (socket.SOL_SOCKET, socket.SCM_RIGHTS):
+                numbers = array.array("i")
+                numbers.frombytes(raw[:len(raw) - len(raw) % numbers.itemsize])
+                self._came.extend(filter(None, map(_adopt, numbers)))
+        if flags & socket.MSG_CTRUNC or len(self._came) > 4 * MOST_DESCRIPTORS:
+            self.close("descriptors were lost")
+            return
+        if not data:
+            self.close("the other process ended it")
+            return
+        try:
+            for message in self._reader.feed(data):
+                if message.descriptors > len(self._came):
+                    raise MessageError("descriptors are missing")
+                self._taker(message, [self._came.popleft() for _ in range(message.descriptors)])
+                if not self.open:
+                    return
+        except MessageError as error:
+            self.close(str(error))
+
+
+def _adopt(number: int) -> socket.socket | None:
+    """Make a socket of a descriptor that came; what is none is closed."""
+    try:
+        sock = socket.socket(fileno=number)
+    except OSError:
+        with suppress(OSError):
+            os.close(number)
+        return None
+    sock.setblocking(False)
+    return sock
+
+
+def bind(path: str) -> socket.socket:
+    """Listen at a path in place of whatever is there; only our own user may connect. Raises OSError."""
+    fresh = f"{path}.{os.getpid()}"
+    sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+    try:
+        with suppress(FileNotFoundError):
+            os.unlink(fresh)
+        sock.bind(fresh)
+        os.chmod(fresh, 0o600)
+        sock.listen(4)
+        sock.setblocking(False)
+        os.rename(fresh, path)  # at no moment is there none
+    except BaseException:
+        sock.close()
+        with suppress(OSError):
+            os.unlink(fresh)
+        raise
+    return sock
+
+
+async def connect(path: str, seconds: float) -> socket.socket:
+    """Connect to a path in time. Raises OSError (TimeoutError included)."""
+    sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    try:
+        async with asyncio.timeout(seconds):
+            await asyncio.get_running_loop().sock_connect(sock, path)
+    except BaseException:
+        sock.close()
+        raise
+    return sock
--- /dev/null
+++ b/hazellead/lifecycle/handover.py
@@ -0,0 +1,395 @@
+"""One process leaves its address to the next: the steps of both sides over a channel, each with a time limit.
+
+The old side is a ``Bequest``: it listens at a path and serves one successor at a time. The new side is an
+``Inheritance``. Whatever breaks before the new one has started, the old one goes on as if nothing had been.
+"""
+
+import asyncio
+import base64
+import itertools
+import os
+import socket
+from collections.abc import Iterable
+from contextlib import suppress
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+from typing import Any, Protocol
+
+import structlog
+
+from hazellead.lifecycle import channel
+from hazellead.lifecycle.channel import Channel
+from hazellead.lifecycle.messages import MOST_DESCRIPTORS, VERSION, Message, MessageError
+
+log = structlog.get_logger()
+
+
+@dataclass(slots=True, frozen=True)
+class Steps:
+    """How long each side waits for the other."""
+
+    connect: timedelta = timedelta(seconds=1)
+    offer: timedelta = timedelta(seconds=2)  # for an answer to hello
+    build: timedelta = timedelta(seconds=10)  # from the offer to ready: the new process puts itself together
+    commit: timedelta = timedelta(seconds=2)
+    again: timedelta = timedelta(milliseconds=200)  # between tries while the other is in no state for it
+    give_up: timedelta = timedelta(seconds=4)  # after so long of that
+    move: timedelta = timedelta(milliseconds=20)  # between looks for connections that can be passed on
+    call_back: timedelta = timedelta(seconds=1)  # for a call-back passed on to be answered
+
+
+STEPS = Steps()
+MOVED_AHEAD = 16  # messages not written yet, over which no more connections are moved
+
+
+@dataclass(slots=True)
+class Moved:
+    """A client's connection with no job on it, and what has been read on it of the next request."""
+
+    sock: socket.socket
+    read: bytes
+    proven: bool  # it has brought a request that could be taken
+    lasting: bool  # it is a worker's
+
+
+class Neighbour(Protocol):
+    """What either process does for the other."""
+
+    def take_call_back(self, identity: str, sender: str, state: str, rest: Any) -> None:
+        """Take in a call-back that reached the other process."""
+
+    def adopt(self, moved: Moved) -> None:
+        """Serve a connection from now on."""
+
+    def other_holds(self, connections: int, workers: int) -> None:
+        """Leave room for what the other process still has open."""
+
+
+class Estate(Neighbour, Protocol):
+    """What the old process leaves."""
+
+    def offer(self) -> tuple[list[socket.socket], dict[str, Any]] | str:
+        """Return copies of the listening sockets and what is known; or why not now."""
+
+    def leave(self) -> dict[str, Any]:
+        """Accept no more, and tell the ids that are open and those that have ended."""
+
+    def take_back(self) -> None:
+        """Accept again: there is no successor after all."""
+
+    def movable(self) -> Iterable[Moved]:
+        """Give up connections with no job on them, one by one."""
+
+    def holds(self) -> tuple[int, int]:
+        """Return how many connections of clients and to workers are still open."""
+
+
+class Link:
+    """A channel between two processes that serve, whichever of them is the older."""
+
+    def __init__(self, neighbour: Neighbour) -> None:
+        """Start without a channel."""
+        self.neighbour = neighbour
+        self.channel: Channel | None = None
+        self._numbers = itertools.count(1)
+        self._asked: dict[int, asyncio.Future[int]] = {}
+
+    @property
+    def open(self) -> bool:
+        """Say whether the other process can be reached."""
+        return self.channel is not None and self.channel.open
+
+    def pass_call_back(
+        self, identity: str, sender: str, state: str, rest: Any,
+    ) -> "asyncio.Future[int] | None":
+        """Pass a call-back on; the future gives the answer, 503 if none comes. None: nobody is there."""
+        if not self.open or self.channel is None:
+            return None
+        number, answer = next(self._numbers), asyncio.get_running_loop().create_future()
+        self._asked[number] = answer
+        # Guards against one that hangs: the worker tries again, and by then the other may be gone.
+        asyncio.get_running_loop().call_later(STEPS.call_back.total_seconds(), self._answer, number, 503)
+        self.channel.send("call_back", number=number, id=identity, sender=sender, state=state, rest=rest)
+        return answer
+
+    def _answer(self, number: int, status: int) -> None:
+        answer = self._asked.pop(number, None)
+        if answer and not answer.done():
+            answer.set_result(status)
+
+    def follow(self, message: Message, sockets: list[socket.socket]) -> bool:
+        """Act on a message that either side may send; False if it is none of these."""
+        if message.kind == "call_back":
+            number = message.number("number")
+            identity, sender, state = (message.text(key) for key in ("id", "sender", "state"))
+            rest = message.body.get("rest")
+            if state == "done" and not isinstance(rest, str) or (
+                    state == "running" and (isinstance(rest, bool) or not isinstance(rest, int | float))):
+                raise MessageError("malformed call-back")
+            self.neighbour.take_call_back(identity, sender, state, rest)
+            if self.channel:
+                self.channel.send("answered", number=number, status=200)
+        elif message.kind == "answered":
+            self._answer(message.number("number"), message.number("status"))
+        elif message.kind == "left":
+            self.neighbour.other_holds(message.number("connections"), message.number("workers"))
+        elif message.kind == "connections":
+            try:
+                read = [base64.b64decode(text, validate=True) for text in message.texts("read")]
+            except ValueError:
+                raise MessageError("malformed connections") from None
+            flags = message.texts("flags")
+            if not len(read) == len(flags) == len(sockets):
+                raise MessageError("connections do not match their descriptors")
+            for sock, data, flag in zip(sockets, read, flags, strict=True):
+                self.neighbour.adopt(Moved(sock, data, "p" in flag, "l" in flag))
+        else:
+            return False
+        return True
+
+    def ended(self) -> None:
+        """Settle what the other process will not answer any more."""
+        for number in list(self._asked):
+            self._answer(number, 503)
+        self.neighbour.other_holds(0, 0)
+
+
+class _Step(Enum):
+    ALONE = "alone"
+    OFFERED = "offered"
+    COMMITTED = "committed"
+    SUCCEEDED = "succeeded"
+
+
+class Bequest(Link):
+    """The old side."""
+
+    def __init__(self, path: str, listen: str, estate: Estate) -> None:
+        """Offer nothing yet."""
+        super().__init__(estate)
+        self._path, self._listen, self._estate = path, listen, estate
+        self._socket: socket.socket | None = None
+        self._step, self._clock = _Step.ALONE, 0  # the second counts steps: earlier ones' limits are void
+        self._final = False
+
+    @property
+    def succeeded(self) -> bool:
+        """Say whether a successor serves."""
+        return self._step is _Step.SUCCEEDED
+
+    def begin(self) -> None:
+        """Listen; where that cannot be, say so and go on without."""
+        try:
+            self._socket = channel.bind(self._path)
+        except OSError as error:
+            log.warning("handover_unavailable", reason=error.strerror or str(error))
+            return
+        asyncio.get_running_loop().add_reader(self._socket, self._knock)
+
+    def stop(self) -> None:
+        """Serve no further successor."""
+        if self._socket:
+            asyncio.get_running_loop().remove_reader(self._socket)
+            self._socket.close()
+            self._socket = None
+
+    def end(self) -> None:
+        """End for good: this process is about to exit."""
+        self._final = True
+        if self._step is _Step.ALONE:
+            with suppress(OSError):
+                if self._socket:
+                    os.unlink(self._path)
+        self.stop()
+        if self.channel:
+            self.channel.close("this process ends")
+
+    def _knock(self) -> None:
+        with suppress(OSError):
+            while self._socket:
+                sock, _ = self._socket.accept()
+                if self.channel or self._final:
+                    sock.close()  # one at a time
+                    continue
+                self.channel = Channel(sock, self._take, self._over)
+                self._limit(STEPS.offer)
+
+    def _limit(self, span: timedelta) -> None:
+        """End the channel unless another step is reached in time."""
+        self._clock += 1
+        asyncio.get_running_loop().call_later(span.total_seconds(), self._expire, self._clock)
+
+    def _expire(self, clock: int) -> None:
+        if clock == self._clock and self._step is not _Step.SUCCEEDED and self.channel:
+            self.channel.close("no next step in time")
+
+    def _take(self, message: Message, sockets: list[socket.socket]) -> None:
+        step = self._step
+        if step is _Step.ALONE and message.kind == "hello":
+            self._hello(message)
+        elif step is _Step.OFFERED and message.kind == "ready":
+            self._step = _Step.COMMITTED
+            self._limit(STEPS.commit)
+            self._send("commit", self._estate.leave())
+        elif step is _Step.COMMITTED and message.kind == "started":
+            self._step = _Step.SUCCEEDED
+            self.stop()
+            log.info("handed_over")
+            self._tick()
+        elif step is not _Step.SUCCEEDED or not self.follow(message, sockets):
+            for sock in sockets:
+                sock.close()
+            raise MessageError(f"{message.kind} out of turn")
+
+    def _hello(self, message: Message) -> None:
+        if message.number("version") != VERSION or message.text("listen") != self._listen:
+            self._send("no", {"why": "another version or address", "again": False})
+            return
+        offer = self._estate.offer()
+        if isinstance(offer, str):
+            self._send("no", {"why": offer, "again": True})
+            return
+        sockets, body = offer
+        self._step = _Step.OFFERED
+        self._limit(STEPS.build)
+        assert self.channel
+        self.channel.send("offer", sockets, version=VERSION, **body)
+
+    def _send(self, kind: str, body: dict[str, Any]) -> None:
+        if self.channel:
+            self.channel.send(kind, **body)
+
+    def _tick(self) -> None:
+        if self._step is _Step.SUCCEEDED and self.channel:
+            self._move(self.channel)
+            asyncio.get_running_loop().call_later(STEPS.move.total_seconds(), self._tick)
+
+    def _move(self, channel: Channel) -> None:
+        """Pass on what can be at this moment."""
+        while channel.open and channel.waiting < MOVED_AHEAD:
+            some = list(itertools.islice(self._estate.movable(), MOST_DESCRIPTORS))
+            if not some:
+                break
+            channel.send(
+                "connections", [m.sock for m in some], read=[base64.b64encode(m.read).decode() for m in some],
+                flags=["p" * m.proven + "l" * m.lasting for m in some])
+        connections, workers = self._estate.holds()
+        self._send("left", {"connections": connections, "workers": workers})
+
+    def _over(self, reason: str) -> None:
+        step, self._step, self.channel = self._step, _Step.ALONE, None
+        self._clock += 1
+        self.ended()
+        if self._final:
+            return
+        if step in (_Step.COMMITTED, _Step.SUCCEEDED):
+            log.warning("handover_taken_back", reason=reason)
+            self._estate.take_back()
+            if self._socket is None:
+                self.begin()
+        elif step is _Step.OFFERED:
+            log.warning("handover_broken", reason=reason)
+
+
+class HandoverError(Exception):
+    """The serving process could not be replaced; it goes on."""
+
+
+class Inheritance(Link):
+    """The new side, before and after it serves."""
+
+    def __init__(self) -> None:
+        """Hold nothing yet; ``neighbour`` must be set before ``commit``."""
+        super().__init__(_Nobody())
+        self.sockets: list[socket.socket] = []
+        self.body: dict[str, Any] = {}
+        self._waiting: asyncio.Future[Message] | None = None
+        self._serving = False
+
+    async def ask(self, path: str, listen: str) -> bool:
+        """Ask whoever serves for its estate. False: nobody does, or it cannot be asked.
+
+        Raises HandoverError where one serves and does not let itself be replaced.
+        """
+        loop = asyncio.get_running_loop()
+        until = loop.time() + STEPS.give_up.total_seconds()
+        while True:
+            try:
+                sock = await channel.connect(path, STEPS.connect.total_seconds())
+            except OSError:
+                return False  # none there, a file that nobody listens at, or no such sockets here
+            self.channel = Channel(sock, self._take, self._over)
+            self.channel.send("hello", version=VERSION, listen=listen)
+            answer = await self._next(STEPS.offer, "an offer")
+            if answer.kind == "offer" and answer.number("version") == VERSION and self.sockets:
+                self.body = answer.body
+                return True
+            self.channel.close("no offer")
+            if answer.kind != "no" or answer.body.get("again") is not True or loop.time() > until:
+                raise HandoverError(f"the serving process cannot be replaced: {answer.body.get('why')}")
+            await asyncio.sleep(STEPS.again.total_seconds())
+
+    async def commit(self) -> Message:
+        """Have the other accept no more; return what it commits. Raises HandoverError."""
+        if not self.channel or not self.channel.open:
+            raise HandoverError("the serving process has ended the hand-over")
+        self.channel.send("ready")
+        answer = await self._next(STEPS.commit, "its commitment")
+        if answer.kind != "commit":
+            raise HandoverError(f"the serving process said {answer.kind}")
+        self._serving = True
+        return answer
+
+    def started(self) -> None:
+        """Say that this process serves."""
+        if self.channel:
+            self.channel.send("started")
+
+    def drop(self) -> None:
+        """End the channel and let go of what came."""
+        if self.channel:
+            self.channel.close()
+        for sock in self.sockets:
+            sock.close()
+        self.sockets = []
+
+    async def _next(self, span: timedelta, what: str) -> Message:
+        self._waiting = asyncio.get_running_loop().create_future()
+        try:
+            return await asyncio.wait_for(self._waiting, span.total_seconds())
+        except TimeoutError:
+            self.drop()
+            raise HandoverError(f"the serving process did not send {what} in time") from None
+        finally:
+            self._waiting = None
+
+    def _take(self, message: Message, sockets: list[socket.socket]) -> None:
+        if self._waiting and not self._waiting.done():
+            self.sockets += sockets
+            self._waiting.set_result(message)
+        elif not self._serving or not self.follow(message, sockets):
+            for sock in sockets:
+                sock.close()
+            raise MessageError(f"{message.kind} out of turn")
+
+    def _over(self, reason: str) -> None:
+        if self._waiting and not self._waiting.done():
+            self._waiting.set_exception(HandoverError(f"the serving process broke off: {reason}"))
+        elif self._serving:
+            log.info("predecessor_ended", reason=reason)
+        self.ended()
+
+
+class _Nobody:
+    """Stands in until there is somebody to act."""
+
+    def take_call_back(self, identity: str, sender: str, state: str, rest: Any) -> None:
+        """Pass over."""
+
+    def adopt(self, moved: Moved) -> None:
+        """Close."""
+        moved.sock.close()
+
+    def other_holds(self, connections: int, workers: int) -> None:
+        """Pass over."""
--- a/hazellead/lifecycle/machine.py
+++ b/hazellead/lifecycle/machine.py
@@ -56,6 +56,13 @@
         self.succeeded = True
         return self._enter(Phase.HANDED_OVER, now, None)
 
+    def take_back(self, now: datetime) -> bool:
+        """Serve at the address again: there is no other process any more. The end, once called, stays."""
+        was, self.succeeded = self.succeeded, False
+        if self.phase is Phase.HANDED_OVER:
+            return self._enter(Phase.READY, now, None)
+        return was
+
     def end(self, now: datetime) -> bool:
         """Begin to end: jobs are taken on for a while, unless a quiesce has said otherwise."""
         if self.phase is Phase.ENDING:
@@ -70,8 +77,8 @@
 
     @property
     def healthy(self) -> bool:
-        """Say whether this process serves clients; one that is being emptied still does."""
-        return self.phase in (Phase.READY, Phase.QUIESCED)
+        """Say whether this process serves clients; one that is being emptied or replaced still does."""
+        return self.phase in (Phase.READY, Phase.QUIESCED, Phase.HANDED_OVER)
 
     @property
     def ends(self) -> bool:
@@ -88,12 +95,14 @@
         After the end was called that waits for as long as jobs are taken: where schedulers restart one after
         another, clients may have nowhere else to go.
         """
-        if self.phase is Phase.ENDING and not self.succeeded:
+        if self.succeeded:  # they are passed on
+            return False
+        if self.phase is Phase.ENDING:
             return not self.takes_jobs(now)
-        return self.phase not in (Phase.STARTING, Phase.READY)
+        return self.phase is Phase.QUIESCED
 
     def ends_idle(self, now: datetime) -> bool:
         """Say whether connections that carry nothing are to be ended."""
         if self.phase is Phase.QUIESCED:
             return now >= self._since + self._pace.settle
-        return self.phase is Phase.ENDING and (self.succeeded or not self.takes_jobs(now))
+        return self.phase is Phase.ENDING and not self.succeeded and not self.takes_jobs(now)
--- a/hazellead/net/http.py
+++ b/hazellead/net/http.py
@@ -63,6 +63,11 @@
         """Return how many bytes are held."""
         return len(self._buffer) + len(self._body)
 
+    @property
+    def unread(self) -> bytes | None:
+        """Return what has come of the next message as it came; None once its head has been taken."""
+        return bytes(self._buffer) if self._head is None else None
+
     @property
     def may_go_on(self) -> bool:
         """Say whether what lies here after a request can be the beginning of another."""
--- a/hazellead/net/server.py
+++ b/hazellead/net/server.py
@@ -159,6 +159,31 @@
             self.closing = True
         self.since = self._server.clock.now()
 
+    def detach(self) -> tuple[socket.socket, bytes] | None:
+        """Give the connection up, open, with what has been read of the next request; None if that cannot be.
+
+        A request whose head has been taken apart stays until it is answered.
+        """
+        reading, between = self._reading, self.state in (State.SILENT, State.RESTING, State.SENDING)
+        if not between or self.exchange or self._ended or self.closing or self._stream.writing() or (
+                reading is None or reading.done() or self._parser.unread is None):
+            return None
+        try:
+            sock = self._stream.socket.dup()
+        except OSError:  # out of descriptors: later
+            return None
+        read = self._parser.unread
+        self._ended = True
+        self._stream.close()  # only our descriptor of it
+        return sock, read
+
+    def receive(self, read: bytes, *, proven: bool, lasting: bool) -> None:
+        """Go on where another process left off."""
+        self.proven, self.lasting = proven, lasting
+        self._parser.feed(read)
+        if proven and not read:
+            self.turn(State.RESTING)
+
     def turn(self, state: "State") -> None:
         """Enter a state."""
         self._server.moves(self, state)
@@ -213,6 +238,16 @@
                 self._stream.write(response(status, f"{why}\n".encode(), keep=False, headers=headers))
 
 
+def pause(server: TCPServer) -> list[socket.socket]:
+    """Accept no more and return the listening sockets, open; ``add_sockets`` goes on with them."""
+    sockets = list(server._sockets.values())
+    for remove in server._handlers.values():
+        remove()
+    server._sockets.clear()
+    server._handlers.clear()
+    return sockets
+
+
 class HttpServer(TCPServer):
     """Accepts connections and bounds their number, their slowness and what they hold."""
 
@@ -229,17 +264,34 @@
         self._held = 0  # bytes of requests that have not come whole
         self._retry = {"Retry-After": f"{limits.busy_retry.total_seconds():.3f}"}
         self.ends = ends
+        self.elsewhere = 0  # connections that another process of this scheduler has open
+        self._adopted: set[asyncio.Future[None]] = set()
         self._sweeper = PeriodicCallback(self.sweep, limits.sweep)
         self._sweeper.start()
 
     async def handle_stream(self, stream: IOStream, address: object) -> None:
         """Serve one connection."""
         stream.set_nodelay(True)
-        if len(self.connections) >= self.limits.client_connections and not self._make_room():
+        if self.full and not self._make_room():
             log.warning("connection_refused", open=len(self.connections))
             await self._refuse(stream)
             return
-        connection = Connection(self, stream)
+        await self._run(Connection(self, stream))
+
+    @property
+    def full(self) -> bool:
+        """Say whether as many connections are open as may be, here and in the process before or after."""
+        return len(self.connections) + self.elsewhere >= self.limits.client_connections
+
+    def adopt(self, sock: socket.socket, read: bytes, *, proven: bool, lasting: bool) -> None:
+        """Serve a connection that another process has detached."""
+        connection = Connection(self, IOStream(sock, max_buffer_size=self.max_buffer_size))
+        connection.receive(read, proven=proven, lasting=lasting)
+        running = asyncio.ensure_future(self._run(connection))
+        self._adopted.add(running)
+        running.add_done_callback(self._adopted.discard)
+
+    async def _run(self, connection: Connection) -> None:
         self.connections.add(connection)
         try:
             await connection.run()
--- a/hazellead/platform/clients.py
+++ b/hazellead/platform/clients.py
@@ -1,5 +1,6 @@
 """Clients' requests and workers' call-backs, on the scheduler's one listener."""
 
+import asyncio
 import json
 import re
 from collections.abc import Callable
@@ -64,10 +65,11 @@
     """Turns requests into jobs for the scheduler and hands call-backs to the worker transport."""
 
     def __init__(
-        self, scheduler: Scheduler, names: Names, report: Callable[[str, str, str, Any], None],
+        self, scheduler: Scheduler, names: Names,
+        report: Callable[[str, str, str, Any], "asyncio.Future[int] | None"],
         up: Callable[[], bool], takes_jobs: Callable[[], bool],
     ) -> None:
-        """``report(id, sender, state, rest)`` takes in one call-back."""
+        """``report(id, sender, state, rest)`` takes in one call-back; None: it was taken in here."""
         self._scheduler, self._names, self._report = scheduler, names, report
         self._up, self._takes_jobs = up, takes_jobs
 
@@ -82,8 +84,10 @@
             elif path == EVENTS:
                 self._need(method, "POST")
                 exchange.lasting = True
-                self._call_back(exchange.message.body)
-                exchange.respond(200)
+                if elsewhere := self._call_back(exchange.message.body):
+                    elsewhere.add_done_callback(lambda status: exchange.respond(status.result()))
+                else:
+                    exchange.respond(200)
             else:
                 self._submit(exchange, method, target)
         except BadRequestError as bad:
@@ -137,7 +141,7 @@
             raise BadRequestError(400, "X-Props is malformed")
         return slots or 1.0
 
-    def _call_back(self, body: bytes) -> None:
+    def _call_back(self, body: bytes) -> "asyncio.Future[int] | None":
         try:
             event = json.loads(body)
         except (ValueError, RecursionError):
@@ -152,6 +156,6 @@
             raise BadRequestError(400, "share is a number")
         if state == "done" and not isinstance(result, str):
             raise BadRequestError(400, "result is a string")
-        self._report(identity, sender, state, share if state == "running" else result)
+        return self._report(identity, sender, state, share if state == "running" else result)
 
 
--- a/hazellead/platform/config.py
+++ b/hazellead/platform/config.py
@@ -93,6 +93,17 @@
     return host.strip("[]"), int(port)
 
 
+def written(address: tuple[str, int]) -> str:
+    """Write an address as the configuration has it."""
+    return f"{address[0]}:{address[1]}"
+
+
+def handover_path(given: Config, environment: Mapping[str, str]) -> str | None:
+    """Return where a process that is to replace this one asks for it; None where that is not offered."""
+    folder = environment.get("TMPDIR")
+    return f"{folder}/hazellead-{given.listen[1]}.sock" if given.console and folder else None
+
+
 def read_settings(nested: Any) -> tuple[Settings, Names, dict[str, str]]:
     """Read nested settings."""
     if not isinstance(nested, dict):
--- a/hazellead/platform/discovery.py
+++ b/hazellead/platform/discovery.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import structlog
@@ -77,6 +77,30 @@
         """Return a worker's name in discovery."""
         return self._places[worker].uid if worker in self._places else str(worker)
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """Return the discovery that is followed."""
+        return self._source.address
+
+    def number(self, uid: str) -> int | None:
+        """Return the module's number for a worker's name, if it has one."""
+        return self._numbers.get(uid)
+
+    def told(self, entries: Iterable[api.WorkerEntry]) -> dict[str, Any]:
+        """Write a list in discovery's form, as of the version that was told last."""
+        phases = {phase: word for word, phase in _PHASES.items()}
+        targets = []
+        for e in entries:
+            if (where := self._places.get(e.worker)) and e.phase is not api.Phase.GONE:
+                zones, kinds = self._names.zones, self._names.kinds
+                host = f"[{where.host}]" if ":" in where.host else where.host
+                targets.append({
+                    "uid": where.uid, "endpoint": f"{host}:{where.port}",
+                    "az": zones[e.zone] if e.zone < len(zones) else "",
+                    "model": kinds[e.kind] if e.kind < len(kinds) else "", "pod_group": e.cell,
+                    "state": phases[e.phase], "capacity_hint": e.weight, "boot_ms": e.started_us // 1000})
+        return {"rev": self._source.version or 0, "all": True, "targets": targets}
+
     def subscribe(self) -> None:
         """Watch from now on."""
         if self._source.task is None:
--- a/hazellead/platform/workers.py
+++ b/hazellead/platform/workers.py
@@ -47,6 +47,7 @@
         self._idle: dict[Place, list[tuple[IOStream, datetime]]] = defaultdict(list)
         self._open: set[IOStream] = set()
         self._opening = 0
+        self.elsewhere = 0  # connections that another process of this scheduler has open
 
     async def take(self, place: Place) -> IOStream:
         """Return a connection that is open and quiet, the last used first, or open one."""
@@ -56,7 +57,7 @@
             if self._clock.now() - since < self._limits.worker_idle and streams.alive(stream):
                 return stream
             stream.close()
-        if self._count() >= self._limits.worker_connections and not self._make_room():
+        if self.count() + self.elsewhere >= self._limits.worker_connections and not self._make_room():
             raise StreamClosedError(OSError("too many connections to workers"))
         self._opening += 1
         try:
@@ -106,7 +107,13 @@
         self._idle[place].pop(0)[0].close()
         return True
 
-    def _count(self) -> int:
+    def release_all(self) -> None:
+        """Close every idle connection."""
+        for place in list(self._idle):
+            self.release(place)
+
+    def count(self) -> int:
+        """Return how many connections are open or being opened."""
         self._open = {stream for stream in self._open if not stream.closed()}
         return len(self._open) + self._opening
 
@@ -158,6 +165,10 @@
         if place := self._places.place(worker):
             self.pool.release(place)
 
+    def awaits(self, identity: str, sender: str) -> bool:
+        """Say whether an attempt of ours is out there."""
+        return (identity, sender) in self._out
+
     def call_back(self, identity: str, sender: str, state: str, rest: Any) -> None:
         """Take in one call-back: it may come before the 202, again, or after its attempt's end."""
         attempt = self._out.get((identity, sender))
