--- a/hazellead/__main__.py
+++ b/hazellead/__main__.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import sys
+from dataclasses import replace
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -20,6 +21,7 @@
 from hazellead.console.figures import Figures, Gauges
 from hazellead.console.front import Console
 from hazellead.core.clock import Clock
+from hazellead.core.generations import Generation
 from hazellead.core.scheduler import Scheduler
 from hazellead.lifecycle.machine import LifeCycle, Pace, Phase
 from hazellead.net.server import HttpServer
@@ -81,7 +83,8 @@
         self.figures = Figures()
         self.figures.serve(given.names.classes)
         self.scheduler = Scheduler(
-            given.settings, given.seed, given.limits, clock, IOLoop.current(), self.figures)
+            given.settings, given.seed, given.limits, clock, IOLoop.current(), self.figures,
+            (given.names.classes, given.names.tenants))
         self.watch, self.gearman = None, None
         self.peers: PeerService | None = None
         if operators and operators.gearman:
@@ -173,26 +176,50 @@
 
     def reload(self, given: config.Config, operators: "Operators | None") -> None:
         """Bring a new configuration in force, as far as that goes while jobs are under way."""
+        # What may be refused comes first: then nothing has changed.
+        if given.discovery is None and self.watch:
+            raise config.ConfigError("discovery is missing")
+        if operators is None:
+            config.complete(self.given, given)
+        try:
+            generation = self.scheduler.following(given.settings, given.names.classes, given.names.tenants)
+        except ValueError as error:
+            raise config.ConfigError(f"settings: {error}") from None
+        retuned = (given.settings, given.names) != (self.given.settings, self.given.names)
         kept = config.fixed(self.given, given)
+        if retuned and self.peers:  # facts go by the numbers of a start's classes
+            retuned, kept = False, [*kept, "settings"]
         new, held = operators, self.operators
         if new and held:
             kept += [part for part in ("gearman", "peers")
                      if (getattr(new, part) is None) != (getattr(held, part) is None)]
-            # What may be refused comes first: then nothing has changed.
             commit = self.peers.prepare(new.peers) if self.peers and new.peers else None
             if self.gearman and new.gearman and held.gearman:
                 kept += ["gearman.listen"] if new.gearman.listen != held.gearman.listen else []
                 # What functions are to the module rests on its settings: they change together or not at all.
                 kept += self.gearman.reload(new.gearman, same="settings" not in kept)
             kept += commit() if commit else []
-        if self.watch:
-            if given.discovery is None:
-                raise config.ConfigError("discovery is missing")
+        if self.watch and given.discovery:
             self.watch.move(given.discovery)
+        if retuned:
+            self._retune(generation, given)
         if kept:
             log.warning("config_needs_restart", changed=",".join(kept))
         log.info("config_read")
 
+    def _retune(self, generation: Generation, given: config.Config) -> None:
+        """Bring settings in force: for the module and the fronts in one step, and for jobs from now on."""
+        self.scheduler.retune(generation)
+        self.front.names = given.names
+        self.figures.serve(given.names.classes)
+        if self.watch:
+            self.watch.rename(given.names)
+        limits = self.limits = self.limits.paced_as(given.limits)
+        self.life.repace(Pace(limits.drain_settle, limits.drain_take, limits.serve_on))
+        held = self.given
+        self.given = replace(given, name=held.name, listen=held.listen, console=held.console, limits=limits)
+        log.info("settings_changed", generation=generation.number, classes=",".join(given.names.classes))
+
     async def stop(self) -> None:
         """Serve on while all can still be answered in time, then answer what is held and end connections.
 
--- a/hazellead/core/scheduler.py
+++ b/hazellead/core/scheduler.py
@@ -1,7 +1,7 @@
 """Drives one ``Dispatcher``: owns its timers, the table of requests and their one final answer each."""
 
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from typing import TYPE_CHECKING
@@ -9,6 +9,7 @@
 import structlog
 from tornado.ioloop import IOLoop
 
+from hazellead.core import generations
 from hazellead.core.clock import Clock, span, to_us
 from hazellead.core.jobs import Attempt, ClientReply, Counted, Job, Tally, WorkerDirectory, WorkerTransport
 from hazellead.decide import interface as api
@@ -36,12 +37,14 @@
 
     def __init__(
         self, settings: api.Settings, seed: int, limits: Limits, clock: Clock, loop: IOLoop,
-        tally: Tally | None = None,
+        tally: Tally | None = None, names: tuple[Sequence[str], Sequence[str]] = ((), ()),
     ) -> None:
-        """Set up; ``connect`` must follow before the first event."""
-        self.settings, self.limits, self._clock, self._loop = settings, limits, clock, loop
+        """Set up; ``connect`` must follow before the first event. ``names`` are the classes' and tenants'."""
+        self.limits, self._clock, self._loop = limits, clock, loop
         self._tally = tally
-        self._dispatcher = Dispatcher(settings, seed)
+        self.generation = generations.first(settings, *names)
+        self.settings = self.generation.settings
+        self._dispatcher = Dispatcher(self.settings, seed)
         self._requests: dict[int, _Request] = {}
         self._identities: set[str] = set()
         self._ended: OrderedDict[str, None] = OrderedDict()  # those that have lately ended
@@ -83,6 +86,20 @@
             self._tally.ended(job.class_name, "overload")
         reply.refused(self.limits.busy_retry)
 
+    def following(
+        self, settings: api.Settings, classes: Sequence[str], tenants: Sequence[str],
+    ) -> generations.Generation:
+        """Return the generation that these settings would be, with nothing changed; raises TooManyError."""
+        jobs = [r.job for r in self._requests.values()]
+        return generations.follow(self.generation, settings, classes, tenants,
+                                  {j.job_class for j in jobs}, {j.tenant for j in jobs})
+
+    def retune(self, generation: generations.Generation) -> None:
+        """Bring it in force for the jobs that come from now on."""
+        self.generation, self.settings = generation, generation.settings
+        self._tick = span(self.settings.tick_us)
+        self._put(api.Retuned(self.settings, generation.fresh))
+
     def identities(self) -> tuple[list[str], list[str]]:
         """Return the ids that are open and those that have lately ended, the oldest first."""
         return list(self._identities), list(self._ended)
@@ -293,8 +310,10 @@
         attempt = Attempt(self, request.number, number, action.worker, request.job, now, until)
         out = any(a.outcome is None for a in request.attempts)
         request.attempts.append(attempt)
-        if request.reply is None or number >= self.settings.max_attempts or now >= until or (
-                out and not self.settings.may_duplicate) or not attempt.may_send():
+        kind = request.job.job_class
+        most, copies = self.settings.attempts(kind), self.settings.copies(kind)
+        if request.reply is None or number >= most or now >= until or (out and not copies) or (
+                not attempt.may_send()):
             attempt.end(api.Outcome.MOOT)
             return
         if until < request.until:
--- a/hazellead/decide/choice.py
+++ b/hazellead/decide/choice.py
@@ -104,12 +104,10 @@
     """Decides for one dispatcher; the same events always bring the same actions."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
-        self.settings, self.rng, self.out = settings, random.Random(seed), list[api.Action]()
-        given = settings.tenants or (api.Tenant(),)
-        equal = (sum(t.portion for t in given) or 1.0) / len(given)  # for those whose portion is not stated
-        portions = [t.portion or equal for t in given]
-        self.tenants = [_Tenant(p / sum(portions)) for p in portions]
-        self.even = sum(t.quota_per_s for t in given) / settings.dispatchers  # an even part
+        self.rng, self.out, self.tenants = random.Random(seed), list[api.Action](), list[_Tenant]()
+        self.run_us, self.ran = list[float](), list[Mean]()  # the second: of what was seen here alone
+        self.runs, self.whole = list[int](), list[int]()
+        self._retuned(api.Retuned(settings))
         self.start_rate = self.rate = self.even or 1e6 / settings.tick_us
         self.factor, self.part = START, 1.0  # the rate over our part of the quotas; that over an even part
         self.spare, self.slots = 0.5, 2.0  # part of slots reported free; slots of a typical worker
@@ -120,10 +118,7 @@
         self.again: list[Request] = []  # requests that wait for a worker for a further attempt
         self.late: list[Request] = []  # held past their aim, for what a late answer earns
         self.checks: list[tuple[int, int, int]] = []  # when to look whether an attempt needs a second copy
-        self.run_us = [float(max(c.aim_us, settings.tick_us)) for c in settings.classes]
         self.mean_run = sum(self.run_us) / len(self.run_us)
-        self.runs, self.whole = [0] * len(self.run_us), [0] * len(self.run_us)
-        self.ran = [Mean(0.0, 0) for _ in self.run_us]  # the same, of what was seen here alone
         self.now = self.accrued = self.sized_at = self.bound_at = self.wake_at = self.ask_at = -1
         self.looking, self.looked_at, self.full, self.barren = 0, -1, False, False
         self.reuse = float(settings.conn_idle_us)  # how long a connection may have idled and be trusted
@@ -136,7 +131,7 @@
         self.takes: dict[type, Callable[[Any], None]] = {
             api.Arrival: self._arrive, api.AttemptEnded: self._ended, api.JobBegan: self._began,
             api.ProbeEnded: self._probed, api.WorkerList: self._listed,
-            api.Abandoned: self._abandoned}
+            api.Abandoned: self._abandoned, api.Retuned: self._retuned}
 
     def handle(self, now_us: int, events: Sequence[api.Event]) -> list[api.Action]:
         """Take in what happened and return what to do, in order."""
@@ -175,6 +170,22 @@
             self.wake_at = max(min(due), self.now + self.settings.tick_us)
             self.out.append(api.SetTimer(self.wake_at - self.now, 0))
 
+    def _retuned(self, event: api.Retuned) -> None:
+        """Follow settings; what was learned stays. A new class's jobs run like all until some are seen."""
+        s = self.settings = event.settings
+        given = s.tenants or (api.Tenant(),)
+        equal = (sum(t.portion for t in given) or 1.0) / len(given)  # for those whose portion is not stated
+        portions = [t.portion or equal for t in given]
+        self.tenants += [_Tenant(0.0) for _ in given[len(self.tenants):]]
+        for t, portion in zip(self.tenants, portions, strict=True):
+            t.share = portion / sum(portions)
+        self.even, seen = sum(t.quota_per_s for t in given) / s.dispatchers, min(sum(self.runs), 5)
+        for c, kind in enumerate(s.classes):
+            if c == len(self.runs) or c in event.fresh:
+                run = self.mean_run if seen else float(max(kind.aim_us, s.tick_us))
+                self.run_us[c:c + 1], self.ran[c:c + 1] = [run], [Mean(0.0, 0)]
+                self.runs[c:c + 1], self.whole[c:c + 1] = [seen], [0]
+
     # The door for what others know; hazellead/learning weighs it.
 
     def known(self) -> "seen.Known":
@@ -490,7 +501,7 @@
         r.attempts.append(self.flying[key])
         self.copies = min(self.copies + COPY_SHARE, 10.0)
         self.out.append(api.Push(r.id, w.entry.worker))
-        if self.settings.may_duplicate and self.settings.classes[r.job_class].effect is not api.Effect.UNSAFE:
+        if self.settings.copies(r.job_class):
             heapq.heappush(self.checks, (self.now + self._slack(r.job_class) // 2, *key))
 
     def _copy(self) -> None:  # a second copy where the first is at a dubious worker or was not begun
@@ -506,7 +517,8 @@
                 self.reuse = min(self.reuse, attempt.idle / 2)
             late = overdue or (s.tells_start and not attempt.began) or self._doubt(w) >= TRUST
             late = late and self.now <= r.useful and number + 1 == len(r.attempts)
-            if late and self.copies >= 1 and len(r.attempts) < s.max_attempts and (target := self._pick(r)):
+            late = late and self.copies >= 1 and len(r.attempts) < s.attempts(r.job_class)
+            if late and (target := self._pick(r)):
                 self.copies -= 1
                 self._push(r, target)
             else:
@@ -562,7 +574,7 @@
             # Its worker died just after it began, or it errs as its tenant's jobs do everywhere: it may crash
             # or fail any worker, so it goes nowhere else. May hurt one begun just before an innocent crash.
             own = event.outcome is api.Outcome.RESET and ran < SHORT * self.mean_run or self._theirs(attempt)
-            may = len(r.attempts) < self.settings.max_attempts and self.now < r.last and not own
+            may = len(r.attempts) < self.settings.attempts(r.job_class) and self.now < r.last and not own
             if may and any(self._may_join(r, r.tied(), w) for w in self.near + self.far):
                 self.again.append(r)
             else:
--- a/hazellead/decide/interface.py
+++ b/hazellead/decide/interface.py
@@ -67,6 +67,8 @@
     late_worth: float = 0.0
     worth: float = 1.0
     kind: int = -1
+    max_attempts: int = 0  # 0: as the settings say for all
+    alone: bool = False  # two attempts at once are not allowed, whatever the settings say for others
 
 
 @dataclass(slots=True, frozen=True)
@@ -109,6 +111,15 @@
     release_within_us: int = 0  # 0: idle connections to a draining worker may stay
     drain_binds_alone: bool = False  # only a worker listed as draining is closed to us, not one called gone
 
+    def attempts(self, job_class: int) -> int:
+        """Return how many attempts a job of a class may have."""
+        return self.classes[job_class].max_attempts or self.max_attempts
+
+    def copies(self, job_class: int) -> bool:
+        """Say whether a job of a class may have two attempts at once."""
+        kind = self.classes[job_class]
+        return self.may_duplicate and not kind.alone and kind.effect is not Effect.UNSAFE
+
     def __post_init__(self) -> None:
         """Refuse settings that no dispatcher could act on."""
         checks = (
@@ -222,6 +233,14 @@
     content: bytes
 
 
+@dataclass(slots=True, frozen=True)
+class Retuned:
+    """Other settings are in force. Classes and tenants keep their numbers, but for classes in ``fresh``."""
+
+    settings: Settings
+    fresh: frozenset[int] = frozenset()
+
+
 @dataclass(slots=True, frozen=True)
 class TimerFired:
     """A timer is due."""
@@ -229,7 +248,8 @@
     token: int
 
 
-Event = WorkerList | Arrival | JobBegan | AttemptEnded | Abandoned | ProbeEnded | PeerMessage | TimerFired
+Event = (WorkerList | Arrival | JobBegan | AttemptEnded | Abandoned | ProbeEnded | PeerMessage | Retuned
+         | TimerFired)
 
 
 @dataclass(slots=True, frozen=True)
--- a/hazellead/gearman/clients.py
+++ b/hazellead/gearman/clients.py
@@ -66,7 +66,9 @@
             client.waits_for(ticket)
         if not fresh:
             return
-        job = Job(uuid.uuid4().hex, f"/{function.class_name}", data, function.job_class, function.tenant,
+        now = self._scheduler.generation
+        tenant = now.tenants[function.tenant] if now.tenants else 0
+        job = Job(uuid.uuid4().hex, f"/{function.class_name}", data, now.classes[function.job_class], tenant,
                   function.deadline, function=function.name, unique=unique.decode("latin-1"),
                   class_name=function.class_name)
         if not self._takes_jobs():
--- a/hazellead/lifecycle/machine.py
+++ b/hazellead/lifecycle/machine.py
@@ -37,6 +37,10 @@
         self.phase, self._since, self._until = phase, now, until
         return True
 
+    def repace(self, pace: Pace) -> None:
+        """Go by other times from the next step on."""
+        self._pace = pace
+
     def start(self, now: datetime) -> bool:
         """Become ready."""
         return self.phase is Phase.STARTING and self._enter(Phase.READY, now, None)
--- a/hazellead/limits.py
+++ b/hazellead/limits.py
@@ -111,6 +111,10 @@
             worker_idle=min(worker_idle / 3, timedelta(seconds=5)),
         )
 
+    def paced_as(self, other: "Limits") -> "Limits":
+        """Return the same with the other's times round a planned end: those follow settings at once."""
+        return replace(self, serve_on=other.serve_on, answer_by=other.answer_by)
+
     def for_console(self) -> "Limits":
         """Return the same for the console's listener.
 
--- a/hazellead/platform/clients.py
+++ b/hazellead/platform/clients.py
@@ -70,7 +70,7 @@
         up: Callable[[], bool], takes_jobs: Callable[[], bool],
     ) -> None:
         """``report(id, sender, state, rest)`` takes in one call-back; None: it was taken in here."""
-        self._scheduler, self._names, self._report = scheduler, names, report
+        self._scheduler, self.names, self._report = scheduler, names, report
         self._up, self._takes_jobs = up, takes_jobs
 
     def handle(self, exchange: Exchange) -> None:
@@ -100,27 +100,29 @@
 
     def _submit(self, exchange: Exchange, method: str, target: str) -> None:
         parts = target.partition("?")[0].split("/")
-        job_class = place(self._names.classes, parts[1]) if parts[0] == "" and len(parts) > 1 else -1
-        if job_class < 0:
+        at = place(self.names.classes, parts[1]) if parts[0] == "" and len(parts) > 1 else -1
+        if at < 0:
             raise BadRequestError(404, "no such class")
         self._need(method, "POST")
-        job = self._job(exchange, target, job_class)
+        job = self._job(exchange, target, at)
         if not self._takes_jobs():
             self._scheduler.refuse(job, _Reply(exchange))
             return
         number = self._scheduler.submit(job, _Reply(exchange))
         exchange.on_gone = lambda: self._scheduler.abandon(number)
 
-    def _job(self, exchange: Exchange, target: str, job_class: int) -> Job:
+    def _job(self, exchange: Exchange, target: str, at: int) -> Job:
         headers = exchange.message.headers
         identity = headers.get("x-trace-id", "")
         if not _ID.match(identity):
             raise BadRequestError(400, "X-Trace-Id is missing or malformed")
         if self._scheduler.has_taken(identity):
             raise BadRequestError(409, "X-Trace-Id has been used")
-        tenant = place(self._names.tenants, headers.get("x-customer", "")) if self._names.tenants else 0
+        tenant = place(self.names.tenants, headers.get("x-customer", "")) if self.names.tenants else 0
         if tenant < 0:
             raise BadRequestError(400, "X-Customer is missing or unknown")
+        job_class = self._scheduler.generation.classes[at]
+        tenant = self._scheduler.generation.tenants[tenant] if self.names.tenants else 0
         given = headers.get("x-expires-in")
         deadline = span(self._scheduler.settings.classes[job_class].deadline_us)
         remaining = deadline if given is None else parse_span(given)
@@ -129,7 +131,7 @@
         # Guards the timers: nobody waits longer than the class's deadline.
         return Job(identity, target, exchange.message.body, job_class, tenant, min(remaining, deadline),
                    slots=self._slots(headers.get("x-props", "")),
-                   function=self._names.classes[job_class], class_name=self._names.classes[job_class])
+                   function=self.names.classes[at], class_name=self.names.classes[at])
 
     def _slots(self, text: str) -> float:
         props = dict(p.strip().partition("=")[::2] for p in text.split(",") if p.strip())
--- a/hazellead/platform/config.py
+++ b/hazellead/platform/config.py
@@ -1,6 +1,7 @@
 """Reads the platform's configuration. Its settings go through the simulator's reader."""
 
 import json
+import math
 import os
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
@@ -77,12 +78,30 @@
     names: Names
     limits: Limits
     console: tuple[str, int] | None = None
+    shape: frozenset[str] = frozenset()  # the keys that the file had
 
 
 def fixed(given: Config, new: Config) -> list[str]:
     """Name what a new configuration changes that counts from the next start only."""
-    return [what for what in ("name", "listen", "console", "settings", "names", "limits")
-            if getattr(given, what) != getattr(new, what)]
+    limits = new.limits.paced_as(given.limits)
+    kept = [what for what in ("name", "listen", "console") if getattr(given, what) != getattr(new, what)]
+    return kept + ["limits"] * (limits != given.limits)
+
+
+def shape(value: Any, path: str = "") -> frozenset[str]:
+    """Return the paths of all keys; of a list's objects those that every one of them has."""
+    if isinstance(value, dict):
+        below = [shape(v, f"{path}.{k}" if path else k) for k, v in value.items() if path or k != "known"]
+        return frozenset(f"{path}.{k}" if path else k for k in value).union(*below)
+    if isinstance(value, list) and value and all(isinstance(v, dict) for v in value):
+        return frozenset.intersection(*(shape(v, f"{path}[]") for v in value))
+    return frozenset()
+
+
+def complete(held: Config, new: Config) -> None:
+    """Guard against a file that is not whole: all keys of the one in force must be there."""
+    if missing := sorted(held.shape - new.shape):
+        raise ConfigError(f"{missing[0]} is missing")
 
 
 def address(text: Any, what: str) -> tuple[str, int]:
@@ -108,11 +127,31 @@
     """Read nested settings."""
     if not isinstance(nested, dict):
         raise ConfigError("settings are missing")
+    positive(nested)
     text = "\n".join(flatten(nested))
     try:
-        return wire.settings(text), Names.read(table := wire.pairs(text)), table
-    except ValueError as error:
+        settings, names, table = wire.settings(text), Names.read(table := wire.pairs(text)), table
+    except (ValueError, OverflowError) as error:
         raise ConfigError(f"settings: {error}") from None
+    for what, some in (("requestClasses", names.classes), ("tenants", names.tenants)):
+        if len(set(some)) < len(some):
+            raise ConfigError(f"settings: {what}: two of one name")
+    return settings, names, table
+
+
+def positive(nested: dict[str, Any]) -> None:
+    """Guard against deadlines and attempts that are no numbers above 0: a text would pass for one later."""
+    classes, caps = nested.get("requestClasses"), nested.get("caps")
+    for i, row in enumerate(classes if isinstance(classes, list) else []):
+        if not isinstance(row, dict):
+            raise ConfigError(f"settings: requestClasses.{i} is no object")
+        _above_0(f"requestClasses.{i}.hardLimitUs", row.get("hardLimitUs", 1))
+    _above_0("caps.maxAttempts", caps.get("maxAttempts", 1) if isinstance(caps, dict) else 1)
+
+
+def _above_0(what: str, value: Any) -> None:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value < math.inf:
+        raise ConfigError(f"settings: {what} is no number above 0: {value!r:.40}")
 
 
 def fit_limits(
@@ -172,6 +211,7 @@
         seed=seed, known=known, settings=settings, names=names,
         limits=fit,
         console=address(console, "console") if console else None,
+        shape=shape(given),
     )
 
 
--- a/hazellead/platform/discovery.py
+++ b/hazellead/platform/discovery.py
@@ -101,6 +101,13 @@
                     "state": phases[e.phase], "capacity_hint": e.weight, "boot_ms": e.started_us // 1000})
         return {"rev": self._source.version or 0, "all": True, "targets": targets}
 
+    def rename(self, names: Names) -> None:
+        """Go by other names of zones and kinds: they are places in a list, so the whole list is asked for."""
+        same = (names.zones, names.kinds) == (self._names.zones, self._names.kinds)
+        self._names = names
+        if not same:
+            self.fetch()
+
     def subscribe(self) -> None:
         """Watch from now on."""
         if self._source.task is None:
--- a/hazellead/platform/estate.py
+++ b/hazellead/platform/estate.py
@@ -85,7 +85,11 @@
         if self._life.phase not in (Phase.READY, Phase.QUIESCED):
             return f"it is {self._life.phase.value}"
         names = self._names()
-        known = state.write(self._scheduler.known(), self._watch.name, names.classes, names.tenants)
+        now = self._scheduler.generation
+        by_number = {n: names.classes[i] for i, n in enumerate(now.classes)}
+        known = state.write(
+            self._scheduler.known(), self._watch.name,
+            [by_number.get(n, "") for n in range(len(now.rows))], [name for name, _ in now.tenant_rows])
         told = self._watch.told(self._scheduler.workers)
         discovery = "{}:{}".format(*self._watch.address)
         return [s.dup() for s in self._sockets], {"known": known, "told": told, "discovery": discovery}
