--- /dev/null
+++ b/tests/test_generations.py
@@ -0,0 +1,212 @@
+"""Settings that change: numbers keep their meaning while jobs are open, and broken files change nothing."""
+
+import asyncio
+import copy
+import json
+import signal
+from collections import Counter
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+from helpers import fleet, pushes
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from loopback import STEADY, HttpWorker, free_port, http_post, run, until
+from test_console import ask, read
+from test_program import HEADERS, SETTINGS, program
+
+from hazellead.core import generations
+from hazellead.decide import interface as api
+from hazellead.decide.choice import Dispatcher
+
+KINDS = [api.JobClass(100_000, limit, effect) for limit in (1_000_000, 5_000_000) for effect in api.Effect]
+TENANTS = ["a", "b", "c"]
+
+
+class Numbers(RuleBasedStateMachine):
+    """Any sequence of settings with jobs coming and ending: each job finds the rules it came under."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = generations.first(
+            api.Settings((KINDS[0],), (api.Tenant(0.5, 10),), max_attempts=3), ["post"], ["a"])
+        self.names, self.open = ["post"], list[tuple[int, int, api.JobClass, int]]()
+        self.module = Dispatcher(self.now.settings, 1)
+        self.clock = 0
+
+    @rule(at=st.integers(0, 9))
+    def job(self, at: int) -> None:
+        at %= len(self.names)
+        number = self.now.classes[at]
+        self.open.append((number, self.now.tenants[0], self.now.settings.classes[number],
+                          self.now.settings.attempts(number)))
+        self.clock += 4000
+        self.module.handle(self.clock, [api.Arrival(len(self.open), number, 900_000, self.now.tenants[0])])
+
+    @rule(at=st.integers(0, 9))
+    def ended(self, at: int) -> None:
+        if self.open:
+            del self.open[at % len(self.open)]
+
+    @rule(names=st.lists(st.sampled_from(["post", "refund", "x", "y"]), min_size=1, unique=True),
+          kinds=st.lists(st.sampled_from(KINDS), min_size=4, max_size=4), most=st.integers(1, 3),
+          tenants=st.lists(st.sampled_from(TENANTS), min_size=1, unique=True))
+    def retune(self, names: list[str], kinds: list[api.JobClass], most: int, tenants: list[str]) -> None:
+        before = self.now
+        settings = api.Settings(tuple(kinds[:len(names)]), tuple(api.Tenant(0.5, 10) for _ in tenants),
+                                max_attempts=most)
+        self.now = generations.follow(before, settings, names, tenants, {n for n, *_ in self.open},
+                                      {t for _, t, *_ in self.open})
+        self.names = names
+        assert self.now.number == before.number + 1
+        for name, kind, number in zip(names, kinds, self.now.classes, strict=False):
+            rules = self.now.settings.classes[number]
+            assert self.now.rows[number][0] == name and self.now.settings.attempts(number) == most
+            assert replace(rules, max_attempts=0, alone=False) == kind
+            assert (number in self.now.fresh) == (
+                number >= len(before.rows) or before.rows[number] != self.now.rows[number])
+        assert len(set(self.now.classes)) == len(names) and len(set(self.now.tenants)) == len(tenants)
+        for name, number in zip(tenants, self.now.tenants, strict=True):
+            assert self.now.tenant_rows[number][0] == name
+        self.clock += 4000
+        self.module.handle(self.clock, [api.Retuned(self.now.settings, self.now.fresh)])
+
+    @invariant()
+    def open_jobs_keep_their_rules(self) -> None:
+        for number, tenant, kind, attempts in self.open:
+            assert self.now.settings.classes[number] == kind
+            assert self.now.settings.attempts(number) == attempts
+            assert self.now.settings.tenants[tenant].portion == 0.5
+        shares = [t.share for t in self.module.tenants]
+        assert len(shares) == len(self.now.tenant_rows) and abs(sum(shares) - 1) < 1e-9 and min(shares) > 0
+        assert len(self.module.run_us) == len(self.now.rows)
+
+
+Numbers.TestCase.settings = STEADY
+TestNumbers = Numbers.TestCase
+
+
+def test_an_open_job_keeps_its_attempts_and_effect_while_a_new_one_has_its_own() -> None:
+    safe = api.JobClass(100_000, 5_000_000, api.Effect.SAFE)
+    held = generations.first(api.Settings((safe,), max_attempts=3), ["post"])
+    module = Dispatcher(held.settings, 1)
+    first = pushes(module.handle(0, [fleet(8), api.Arrival(1, 0, 5_000_000)]))
+    assert len(first) == 1
+    once = api.Settings((replace(safe, effect=api.Effect.UNSAFE),), max_attempts=1)
+    now = generations.follow(held, once, ["post"], [], {0}, {0})
+    assert now.classes == (1,) and now.settings.classes[0].effect is api.Effect.SAFE
+    second = pushes(module.handle(4000, [api.Retuned(now.settings, now.fresh), api.Arrival(2, 1, 5_000_000)]))
+    assert [p.request for p in second] == [2]
+    reset = api.Outcome.RESET
+    actions = module.handle(300_000, [api.AttemptEnded(1, 0, first[0].worker, reset, 300_000, False),
+                                      api.AttemptEnded(2, 0, second[0].worker, reset, 296_000, False)])
+    assert [p.request for p in pushes(actions)] == [1], "tried again under the rules it came under"
+    assert [a.request for a in actions if isinstance(a, api.Fail)] == [2]
+
+
+def test_what_was_learned_stays_and_a_new_class_starts_from_it() -> None:
+    held = generations.first(api.Settings((KINDS[2],), max_attempts=3), ["post"])
+    module = Dispatcher(held.settings, 1)
+    module.handle(0, [fleet(4)])
+    for i in range(40):
+        [push] = pushes(module.handle(400_000 * i, [api.Arrival(i, 0, 5_000_000)]))
+        began = 400_000 * i + 4000
+        module.handle(began, [api.JobBegan(i, 0, push.worker)])
+        module.handle(began + 300_000, [
+            api.AttemptEnded(i, 0, push.worker, api.Outcome.SERVED, 304_000, True)])
+    assert module.run_us[0] > 250_000
+    settings = api.Settings((KINDS[2], KINDS[5]), max_attempts=2)
+    now = generations.follow(held, settings, ["post", "v2"], [], (), ())
+    module.handle(17_000_000, [api.Retuned(now.settings, now.fresh)])
+    assert now.fresh and module.run_us[now.classes[1]] == module.mean_run > 250_000
+
+
+def test_too_many_names_are_refused_and_numbers_are_used_again() -> None:
+    now = generations.first(api.Settings((KINDS[0],), max_attempts=1), ["0"], [])
+    for i in range(1, 600):
+        now = generations.follow(now, api.Settings((KINDS[0],), max_attempts=1), [str(i)], [], (), ())
+    assert len(now.rows) == 2
+    with pytest.raises(generations.TooManyError):
+        for i in range(600):
+            now = generations.follow(now, api.Settings((KINDS[0],), (api.Tenant(),)), ["0"], [str(i)], (), ())
+
+
+def changed(**parts: Any) -> dict[str, Any]:
+    settings = copy.deepcopy(SETTINGS)
+    for path, value in parts.items():
+        *way, last = path.split("__")
+        at = settings
+        for step in way:
+            at = at[int(step)] if step.isdigit() else at[step]
+        if value is None:
+            del at[last]
+        else:
+            at[last] = value
+    return settings
+
+
+BROKEN: list[tuple[Any, bytes]] = [
+    (changed(caps__maxAttempts=0), b"maxAttempts"), (changed(caps__maxAttempts=True), b"maxAttempts"),
+    (changed(caps__maxAttempts="2"), b"maxAttempts"), (changed(caps__maxAttempts=None), b"maxAttempts"),
+    (changed(requestClasses__0__hardLimitUs=-5), b"hardLimitUs"),
+    (changed(requestClasses__0__hardLimitUs="5000000"), b"hardLimitUs"),
+    (changed(requestClasses__0__hardLimitUs=1e400), b"hardLimitUs"),
+    (changed(requestClasses__0__hardLimitUs=0.2), b"deadline"),
+    (changed(requestClasses__0__effect="odd"), b"effect"), (changed(requestClasses__0__name=None), b"name"),
+    (changed(invariants=None), b"invariants"), (changed(tenants__1__portion=None), b"portion"),
+    (changed(requestClasses=[]), b"requestClasses"),
+    (changed(requestClasses=[SETTINGS["requestClasses"][0]] * 2), b"two of one name"),
+    ("", b"not JSON"), (None, b"settings is missing")]
+
+
+def test_new_classes_serve_and_broken_files_change_nothing(tmp_path: Path) -> None:
+    async def case() -> None:
+        port, console, count = free_port(), free_port(), Counter[bytes]()
+        worker = HttpWorker("s-1", count, lambda: port)
+        worker.states = [{"state": "started"}]
+        more = {"console": f"127.0.0.1:{console}"}
+        async with worker.serving(), program(tmp_path, port, worker, **more) as process:
+            path = tmp_path / "config.json"
+            base = json.loads(path.read_text())
+
+            async def hup(text: str) -> bytes:
+                path.write_text(text)
+                process.send_signal(signal.SIGHUP)
+                while True:
+                    line = await process.stderr.readline()
+                    if b"event=config_" in line and b"needs_restart" not in line:
+                        return line
+
+            async def post(name: str, identity: str) -> tuple[int, bytes]:
+                status, _, body = await http_post(port, f"/{name}", b"%s" % identity.encode(),
+                                                  HEADERS.format(identity))
+                return status, body
+
+            held = asyncio.ensure_future(post("post-payment", "1"))
+            await until(lambda: count[b"1"])
+            whole = json.dumps(base)
+            for cut in range(0, len(whole), max(1, len(whole) // 40)):
+                assert b"config_kept" in await hup(whole[:cut])
+            for settings, words in BROKEN:
+                text = settings if settings == "" else json.dumps(
+                    {k: v for k, v in (base | {"settings": settings}).items() if v is not None})
+                line = await hup(text)
+                assert b"config_kept" in line and words in line, (settings, line)
+            assert (await post("refund", "2"))[0] == 404
+            row = SETTINGS["requestClasses"][0]
+            new = changed(requestClasses=[row | {"name": "refund"}, row | {"name": "v2", "effect": "free"}],
+                          caps__maxAttempts=1)
+            assert b"config_read" in await hup(json.dumps(base | {"settings": new}))
+            worker.states = [{"state": "done"}]
+            assert await post("refund", "3") == (200, b"posted 3") and (await post("v2", "4"))[0] == 200
+            assert (await post("post-payment", "5"))[0] == 404
+            got = read((await ask(console))[1])
+            assert got["replies.refund.success"] == got["replies.v2.success"] == 1 and got["concurrent"] == 1
+            assert got["reload_success"] == 1 and got["reload_failure"] >= 40 + len(BROKEN)
+            assert await worker.call_back("1", state="done", result="r") == 200
+            assert await held == (200, b"r")
+            assert read((await ask(console))[1])["replies.post-payment.success"] == 1
+
+    run(case())
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,298 @@
+"""One process replaced by the next: under load, and with partners that hang, garble or die at any step."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections import Counter
+from collections.abc import Callable
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given as examples
+from hypothesis import settings
+from hypothesis import strategies as st
+from loopback import ROOT, HttpWorker, free_port, http_message, http_post, run, until
+from test_console import ask, read
+from test_program import HEADERS, get, given, program
+
+from hazellead.decide.known import Estimate, Known, KnownWorker
+from hazellead.lifecycle import state
+from hazellead.lifecycle.channel import Channel
+from hazellead.lifecycle.messages import Message, MessageError, Reader, encode
+from hazellead.net import http
+
+
+class Later(HttpWorker):
+    """A worker that tells of a job's end a while after it took it, on a connection of its own."""
+
+    async def later(self, identity: str, body: bytes) -> None:
+        await asyncio.sleep(0.25)
+        assert await self.call_back(identity, state="started") == 200
+        assert await self.call_back(identity, state="done", result=f"posted {body.decode()}") == 200
+        assert await self.call_back(identity, state="done", result="again") == 200
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        tasks = set()
+        with suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                first, headers, body = await http_message(reader)
+                writer.write(b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
+                if first.startswith("POST"):
+                    self.postings[body] += 1
+                    tasks.add(asyncio.ensure_future(self.later(headers["x-trace-id"], body)))
+
+
+def descriptors(process: asyncio.subprocess.Process) -> int:
+    return len(os.listdir(f"/proc/{process.pid}/fd"))
+
+
+def test_two_replacements_under_load_lose_nothing_post_nothing_twice_and_close_no_connection(
+    tmp_path: Path,
+) -> None:
+    async def case() -> None:
+        port, consoles, count = free_port(), [free_port() for _ in range(3)], Counter[bytes]()
+        all_workers = [Later(f"s-{i}", count, lambda: port) for i in range(4)]
+        stop, answers = asyncio.Event(), Counter[tuple[int, bool]]()
+        sent = 0
+
+        async def client(name: int) -> None:
+            nonlocal sent
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            while not stop.is_set():
+                sent += 1
+                mine = b"%d" % sent
+                data = http.request("POST", "/post-payment", "x", {
+                    "X-Trace-Id": f"id{sent}", "X-Customer": "pohja-vesi", "X-Expires-In": "5000m"}, mine)
+                for part in (data[:7], data[7:60], data[60:]) if name % 3 == 0 else (data,):
+                    writer.write(part)
+                    await asyncio.sleep(0.004)
+                first, headers, body = await http_message(reader)
+                assert headers.get("connection") != "close"
+                answers[int(first.split()[1]), body == b"posted " + mine] += 1
+                await asyncio.sleep(0.01 * (name % 5))
+            writer.close()
+
+        async def front() -> None:
+            while not stop.is_set():
+                assert await get(port, "/up") == 200
+                await asyncio.sleep(0.05)
+
+        def start(i: int) -> Any:
+            return program(tmp_path / str(i), port, *all_workers, console=f"127.0.0.1:{consoles[i]}")
+
+        async with (all_workers[0].serving(), all_workers[1].serving(), all_workers[2].serving(),
+                    all_workers[3].serving(), start(0) as old):
+            load = [asyncio.ensure_future(client(i)) for i in range(12)] + [asyncio.ensure_future(front())]
+            await asyncio.sleep(0.7)
+
+            async def replaced(process: Any, i: int) -> None:
+                assert (await ask(consoles[i], "/admin/health"))[0] == 200
+                assert (await ask(consoles[i - 1], "/admin/quiesce", "PUT"))[0] == 409
+                assert (await http_post(port, "/post-payment", b"x", HEADERS.format("id1")))[0] == 409
+                process.send_signal(signal.SIGTERM)
+                assert await asyncio.wait_for(process.wait(), 5) == 0
+                await asyncio.sleep(0.5)
+                got = read((await ask(consoles[i]))[1])
+                assert got["replies.post-payment.success"] > 20 and got["targets"] == 4
+
+            async with start(1) as second:
+                await replaced(old, 1)
+                async with start(2):
+                    await replaced(second, 2)
+                    stop.set()
+                    await asyncio.gather(*load)
+            assert set(answers) == {(200, True)}, answers
+            assert answers.total() == sent and set(count.values()) == {1} and len(count) == sent
+
+    run(case())
+
+
+def test_an_old_process_serves_on_whatever_a_successor_does(tmp_path: Path) -> None:
+    async def case() -> None:
+        port, console, count = free_port(), free_port(), Counter[bytes]()
+        worker = HttpWorker("s-1", count, lambda: port)
+        async with worker.serving(), program(
+                tmp_path / "a", port, worker, console=f"127.0.0.1:{console}") as old:
+            path = str(tmp_path / f"hazellead-{port}.sock")
+            await until(lambda: os.path.exists(path))
+            before, listen = descriptors(old), f"127.0.0.1:{port}"
+            hello = encode(Message("hello", {"version": 1, "listen": listen}))
+            ready = encode(Message("ready", {}))
+            junk = encode(Message("connections", {"read": ["!"], "flags": [""]}))
+            wrong = encode(Message("hello", {"version": 2, "listen": listen}))
+            astray = encode(Message("hello", {"version": 1, "listen": "127.0.0.1:1"}))
+            started = encode(Message("started", {}))
+            for i, steps in enumerate([  # what is sent, and what kind of answer is waited for then
+                    [(b"GET / HTTP/1.1\r\n\r\n", "")], [(b"\xff" * 9, "")], [(hello[:9], "")],
+                    [(wrong, "no")],
+                    [(astray, "no")], [(ready, "")], [(hello, "offer"), (hello, "")], [(hello, "offer")],
+                    [(hello, "offer"), (ready, "commit")],
+                    [(hello, "offer"), (ready, "commit"), (started, "left"), (junk, "")]]):
+                sock = socket.socket(socket.AF_UNIX)
+                sock.connect(path)
+                sock.settimeout(5)
+                for data, kind in steps:
+                    sock.sendall(data)
+                    got = b""
+                    while f'"kind":"{kind}"'.encode() not in got and kind:
+                        got += (more := await asyncio.to_thread(sock.recv, 1 << 20))
+                        assert more, (i, kind, got[:80])
+                sock.close()
+                await until(lambda: descriptors(old) <= before + 1)
+                status, _, body = await http_post(port, "/post-payment", b"%d" % i, HEADERS.format(f"j{i}"))
+                assert (status, body) == (200, b"posted %d" % i)
+                assert await get(port, "/up") == 200
+                await until(lambda: os.path.exists(path))
+            async with program(tmp_path / "b", port, worker, console=f"127.0.0.1:{free_port()}"):
+                old.send_signal(signal.SIGTERM)
+                assert await asyncio.wait_for(old.wait(), 5) == 0
+                assert (await http_post(port, "/post-payment", b"z", HEADERS.format("z")))[0] == 200
+
+    run(case())
+
+
+def test_one_that_hangs_in_the_hand_over_is_given_up_and_the_next_succeeds(tmp_path: Path) -> None:
+    async def case() -> None:
+        port = free_port()
+        async with program(tmp_path / "a", port, console=f"127.0.0.1:{free_port()}") as old:
+            path = str(tmp_path / f"hazellead-{port}.sock")
+            await until(lambda: os.path.exists(path))
+            sock = socket.socket(socket.AF_UNIX)
+            sock.connect(path)  # and says nothing: the next has to wait, but not for ever
+            async with program(tmp_path / "b", port, console=f"127.0.0.1:{free_port()}"):
+                assert old.returncode is None and await get(port, "/up") == 200
+            sock.close()
+
+    run(case())
+
+
+@pytest.mark.parametrize("kind", ["stale", "file", "hang", "garble", "close", "no", "sockets"])
+def test_a_new_process_starts_where_the_address_is_free_and_ends_plainly_where_not(
+    tmp_path: Path, kind: str,
+) -> None:
+    async def case() -> None:
+        port = free_port()
+        path = tmp_path / f"hazellead-{port}.sock"
+
+        async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.read(4096)
+            data = {"garble": b"HTTP/1.1 400 Bad\r\n\r\n",
+                    "no": encode(Message("no", {"why": "x", "again": False})),
+                    "sockets": encode(Message("offer", {"version": 1}))}
+            writer.write(data.get(kind, b""))
+            if kind != "hang":
+                writer.close()
+
+        server = None
+        if kind == "file":
+            path.write_text("something")
+        elif kind == "stale":
+            sock = socket.socket(socket.AF_UNIX)
+            sock.bind(str(path))
+            sock.close()
+        else:
+            server = await asyncio.start_unix_server(answer, str(path))
+        async with program(tmp_path / "a", port, console=f"127.0.0.1:{free_port()}") as process:
+            assert await get(port, "/up") == 200
+            process.send_signal(signal.SIGTERM)
+            assert await asyncio.wait_for(process.wait(), 8) == 0
+        if server and kind != "hang":
+            taken = socket.socket()
+            taken.bind(("127.0.0.1", port := free_port()))
+            taken.listen()
+            second = await asyncio.start_unix_server(answer, str(tmp_path / f"hazellead-{port}.sock"))
+            (tmp_path / "b").mkdir()
+            config = tmp_path / "b/config.json"
+            config.write_text(json.dumps(given(port) | {"console": f"127.0.0.1:{free_port()}"}))
+            done = await asyncio.to_thread(
+                subprocess.run, [sys.executable, "-m", "hazellead"], cwd=ROOT, capture_output=True, text=True,
+                env={"GW_CONFIG": str(config), "TMPDIR": str(tmp_path)}, timeout=20, check=False)
+            last = done.stderr.strip().splitlines()[-1]
+            assert done.returncode == 2 and last.startswith("hazellead: cannot listen at"), done.stderr
+            second.close()
+            server.close()
+            taken.close()
+
+    run(case())
+
+
+PLAIN = st.dictionaries(
+    st.text(max_size=5).filter(lambda k: k != "kind"),
+    st.none() | st.integers() | st.text(max_size=9) | st.lists(st.text(max_size=3)), max_size=3)
+
+
+@settings(derandomize=True, deadline=None)
+@examples(st.lists(st.tuples(st.text(max_size=9), PLAIN, st.integers(0, 32)), max_size=6), st.data())
+def test_messages_come_whole_however_they_are_cut(
+    some: list[tuple[str, Any, int]], data: st.DataObject,
+) -> None:
+    sent = [Message(kind, body, count) for kind, body, count in some]
+    stream, reader, got = b"".join(map(encode, sent)), Reader(), []
+    while stream:
+        cut = data.draw(st.integers(1, len(stream)))
+        got += reader.feed(stream[:cut])
+        stream = stream[cut:]
+    assert got == sent
+
+
+@settings(derandomize=True, deadline=None)
+@examples(st.binary(min_size=5, max_size=200))
+def test_garbage_is_refused_or_waited_for_and_never_more(garbage: bytes) -> None:
+    reader = Reader()
+    with suppress(MessageError):
+        for message in reader.feed(garbage):
+            assert isinstance(message.kind, str)
+    for wrong in (b"\x00\x00\x00\x02\x00[]", b"\xff\xff\xff\xff\x00", b"\x00\x00\x00\x02\xff{}"):
+        with pytest.raises(MessageError):
+            list(Reader().feed(wrong))
+
+
+def test_knowledge_crosses_by_name_and_what_is_malformed_is_refused() -> None:
+    here = {"s-1": 1, "s-2": 2}
+    e = Estimate(1.5, 3.0, 77)
+    known = Known((KnownWorker(1, 5, pace=e, spent=e), KnownWorker(2, 6, broke=e)), (e, Estimate(2.0)),
+                  (Estimate(3.0, 1.0, 1),), e)
+    body = json.loads(json.dumps(state.write(
+        known, lambda n: {v: k for k, v in here.items()}[n], ["a", "b"], ["t"])))
+    got = state.read(body, {"s-2": 9}.get, ["b", "new", "a"], ["u", "t"])
+    assert [w.worker for w in got.workers] == [9] and got.workers[0].broke == e
+    assert got.runs == (Estimate(2.0), Estimate(), e) and got.demand == (Estimate(), Estimate(3.0, 1.0, 1))
+    assert state.read(body, here.get, ["a", "b"], ["t"]) == known
+    for key in body:
+        for wrong in (None, 1, [1], {"a": 1}, [{"uid": "s-1"}]):
+            with pytest.raises(MessageError):
+                state.read(body | {key: wrong}, here.get, ["a", "b"], ["t"])
+
+
+def test_descriptors_reach_the_other_side_and_none_is_left_open() -> None:
+    async def case() -> None:
+        one, other = socket.socketpair()
+        got: list[tuple[Message, list[socket.socket]]] = []
+        ends: list[str] = []
+
+        def taker(into: list[Any]) -> Callable[[Message, list[socket.socket]], None]:
+            return lambda message, sockets: into.append((message, sockets))
+
+        a = Channel(one, taker([]), ends.append)
+        b = Channel(other, taker(got), ends.append)
+        before = len(os.listdir("/proc/self/fd"))
+        pairs = [socket.socketpair() for _ in range(20)]
+        for i, (near, _) in enumerate(pairs):
+            a.send("connections", [near], n=i, fill="x" * 20_000)
+        await until(lambda: len(got) == 20)
+        for (message, [sock]), (_, far) in zip(got, pairs, strict=True):
+            far.sendall(b"%d" % message.number("n"))
+            assert sock.recv(9) == b"%d" % message.number("n")
+            sock.close()
+            far.close()
+        a.close()
+        await until(lambda: len(ends) == 2)
+        assert not a.open and not b.open and len(os.listdir("/proc/self/fd")) == before - 2
+
+    run(case())
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -30,12 +30,16 @@
 
 @asynccontextmanager
 async def program(folder: Path, port: int, *workers: HttpWorker, **more: Any) -> Any:
+    folder.mkdir(exist_ok=True)
     (folder / "config.json").write_text(json.dumps(given(port, *workers) | more))
+    # TMPDIR is shared by the processes that replace each other.
+    env = {"GW_CONFIG": str(folder / "config.json"), "TMPDIR": str(folder.parent)}
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "hazellead", cwd=ROOT, env={"GW_CONFIG": str(folder / "config.json")},
-        stderr=asyncio.subprocess.PIPE)
+        sys.executable, "-m", "hazellead", cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE)
     try:
-        assert process.stderr and b"event=ready" in await process.stderr.readline()
+        assert process.stderr
+        while b"event=ready" not in (line := await process.stderr.readline()):
+            assert line, "ended before it was ready"
         yield process
     finally:
         if process.returncode is None:
