--- a/hazellead/lifecycle/handover.py
+++ b/hazellead/lifecycle/handover.py
@@ -149,9 +149,9 @@
         return True
 
     def ended(self) -> None:
-        """Settle what the other process will not answer any more."""
+        """Settle what the other process will not answer any more: its jobs have ended with it."""
         for number in list(self._asked):
-            self._answer(number, 503)
+            self._answer(number, 200)
         self.neighbour.other_holds(0, 0)
 
 
@@ -296,6 +296,10 @@
     """The serving process could not be replaced; it goes on."""
 
 
+class BrokenOffError(HandoverError):
+    """The serving process has ended the channel."""
+
+
 class Inheritance(Link):
     """The new side, before and after it serves."""
 
@@ -321,7 +325,10 @@
                 return False  # none there, a file that nobody listens at, or no such sockets here
             self.channel = Channel(sock, self._take, self._over)
             self.channel.send("hello", version=VERSION, listen=listen)
-            answer = await self._next(STEPS.offer, "an offer")
+            try:
+                answer = await self._next(STEPS.offer, "an offer")
+            except BrokenOffError:  # it ends, or has another at its door
+                answer = Message("no", {"why": "it breaks off", "again": True})
             if answer.kind == "offer" and answer.number("version") == VERSION and self.sockets:
                 self.body = answer.body
                 return True
@@ -355,6 +362,8 @@
         self.sockets = []
 
     async def _next(self, span: timedelta, what: str) -> Message:
+        if not self.open:
+            raise BrokenOffError("the serving process broke off")
         self._waiting = asyncio.get_running_loop().create_future()
         try:
             return await asyncio.wait_for(self._waiting, span.total_seconds())
@@ -375,7 +384,7 @@
 
     def _over(self, reason: str) -> None:
         if self._waiting and not self._waiting.done():
-            self._waiting.set_exception(HandoverError(f"the serving process broke off: {reason}"))
+            self._waiting.set_exception(BrokenOffError(f"the serving process broke off: {reason}"))
         elif self._serving:
             log.info("predecessor_ended", reason=reason)
         self.ended()
