Let adopted connections make room: a crowd no longer fills a new process for good

Cause: net/server.py adopt() told an adopted connection's state before the connection was counted, so moves() dropped it from the lists that room is made from.

--- a/hazellead/__main__.py
+++ b/hazellead/__main__.py
@@ -137,7 +137,8 @@
         self.life.start(self.clock.now())
         if self.estate:
             self.estate.bequeath()
-        log.info("ready", name=given.name, listen=config.written(given.listen))
+        log.info("ready", name=given.name, listen=config.written(given.listen),
+                 classes=",".join(given.names.classes))
 
     def takes_jobs(self) -> bool:
         """Say whether a job that comes now is taken."""
--- a/hazellead/net/server.py
+++ b/hazellead/net/server.py
@@ -286,6 +286,7 @@
     def adopt(self, sock: socket.socket, read: bytes, *, proven: bool, lasting: bool) -> None:
         """Serve a connection that another process has detached."""
         connection = Connection(self, IOStream(sock, max_buffer_size=self.max_buffer_size))
+        self.connections.add(connection)  # before its state is told: else it could never make room
         connection.receive(read, proven=proven, lasting=lasting)
         running = asyncio.ensure_future(self._run(connection))
         self._adopted.add(running)
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -290,3 +290,32 @@
         writer.close()
 
     run(case())
+
+
+def test_adopted_connections_go_on_where_they_were_and_make_room_as_others_do() -> None:
+    async def case() -> None:
+        old, port = serving(Limits())
+        new = HttpServer(Limits(client_connections=2), Clock(), lambda e: e.respond(200, b"new"))
+        pairs = [await asyncio.open_connection("127.0.0.1", port) for _ in range(2)]
+        for reader, writer in pairs:
+            writer.write(request("GET", "/a", "b"))
+            assert (await http_message(reader))[2] == b"ok"
+        pairs[1][1].write(b"GET /a HT")  # the next request has begun
+        await until(lambda: sum(not c.idle for c in old.connections) == 1)
+        given = [(c.detach(), c.proven) for c in sorted(old.connections, key=lambda c: c.idle)]
+        for detached, proven in given:
+            assert detached and proven
+            new.adopt(*detached, proven=proven, lasting=False)
+        await until(lambda: not old.connections)
+        new.listen(other := free_port(), "127.0.0.1")
+        got = await raw(other, request("GET", "/a", "b", {"Connection": "close"}))
+        assert got.endswith(b"new"), "the resting one has not made room"
+        assert await pairs[0][0].read() == b""
+        pairs[1][1].write(b"TP/1.1\r\n\r\n")
+        assert (await http_message(pairs[1][0]))[2] == b"new"
+        for _, writer in pairs:
+            writer.close()
+        await old.finish()
+        await new.finish()
+
+    run(case())
