--- a/hazellead/decide/choice.py
+++ b/hazellead/decide/choice.py
@@ -223,8 +223,8 @@
                 w.blame = max(w.blame, k.blame.value)
             if k.broke.weight > 0 and w.cold_since < k.broke.at_us <= self.now:
                 w.cold_since, w.drawn_until = k.broke.at_us, 0
-            if k.spent.weight > 0 and fresh:
-                w.tickets, w.drawn_until = int(k.spent.value), k.spent.at_us
+            if k.own and fresh:
+                w.inherit(k.own)
             if k.drain.weight > 0 and w.drained < 0:
                 w.full_until = max(w.full_until, k.drain.at_us)
         for c, theirs in enumerate(known.runs):
--- a/hazellead/decide/known.py
+++ b/hazellead/decide/known.py
@@ -31,7 +31,7 @@
     blame: Estimate = Estimate()
     broke: Estimate = Estimate()
     drain: Estimate = Estimate()
-    spent: Estimate = Estimate()  # pushes left while it is cold, until ``at_us``; counts for a successor only
+    own: tuple[float, ...] = ()  # figures as they are, for a process that takes the place of ours
 
 
 @dataclass(slots=True, frozen=True)
--- a/hazellead/decide/records.py
+++ b/hazellead/decide/records.py
@@ -87,6 +87,11 @@
     outcome: api.Outcome | None = None
 
 
+# What a process that takes the place of ours goes on with: caution, and the budgets of cold workers.
+OWN = ("cold_since", "tickets", "drawn_until", "blame", "failures", "fulls", "full_until", "next_trial",
+       "broke", "failed", "vouched", "slots")
+
+
 @dataclass(slots=True, eq=False)
 class Worker:
     """What is known of one worker."""
@@ -139,4 +144,9 @@
             blame=door.Estimate(self.blame, min(self.failures, 8), self.failed),
             broke=door.Estimate(1.0, self.broke > self.entry.started_us, self.broke),
             drain=door.Estimate(1.0, draining, self.seen),
-            spent=door.Estimate(max(0, self.tickets), self.drawn_until > 0, self.drawn_until))
+            own=tuple(getattr(self, name) for name in OWN))
+
+    def inherit(self, own: tuple[float, ...]) -> None:
+        """Go on where the process before left off: what it blamed is blamed, what it spent is spent."""
+        for name, value in zip(OWN, own, strict=True):
+            setattr(self, name, type(getattr(self, name))(value))
--- a/hazellead/lifecycle/state.py
+++ b/hazellead/lifecycle/state.py
@@ -3,14 +3,16 @@
 Workers go by their names: numbers are a process's own.
 """
 
+import math
 from collections.abc import Callable, Sequence
 from dataclasses import fields
 from typing import Any
 
 from hazellead.decide.known import Estimate, Known, KnownWorker
+from hazellead.decide.records import OWN
 from hazellead.lifecycle.messages import MessageError
 
-_FACTS = tuple(f.name for f in fields(KnownWorker) if f.name not in ("worker", "started_us"))
+_FACTS = tuple(f.name for f in fields(KnownWorker) if f.name not in ("worker", "started_us", "own"))
 
 
 def write(
@@ -18,7 +20,7 @@
 ) -> dict[str, Any]:
     """Turn it into plain values, with the names of the classes and tenants that its figures are for."""
     return {
-        "workers": [{"uid": name(w.worker), "started_us": w.started_us}
+        "workers": [{"uid": name(w.worker), "started_us": w.started_us, "own": w.own}
                     | {f: _plain(getattr(w, f)) for f in _FACTS} for w in known.workers],
         "runs": {c: _plain(e) for c, e in zip(classes, known.runs, strict=False)},
         "demand": {t: _plain(e) for t, e in zip(tenants, known.demand, strict=False)},
@@ -32,7 +34,7 @@
     """Read it again, less what nobody here knows; raises MessageError."""
     try:
         workers = [
-            KnownWorker(n, int(w["started_us"]), **{f: _estimate(w[f]) for f in _FACTS})
+            KnownWorker(n, int(w["started_us"]), **{f: _estimate(w[f]) for f in _FACTS}, own=_own(w["own"]))
             for w in body["workers"] if (n := number(str(w["uid"]))) is not None]
         runs, demand = ({str(k): _estimate(v) for k, v in body[key].items()} for key in ("runs", "demand"))
         return Known(tuple(workers), tuple(runs.get(c, Estimate()) for c in classes),
@@ -41,6 +43,13 @@
         raise MessageError(f"malformed knowledge: {error}") from None
 
 
+def _own(given: Any) -> tuple[float, ...]:
+    values = tuple(float(value) for value in given)
+    if len(values) not in (0, len(OWN)) or not all(map(math.isfinite, values)):
+        raise ValueError("own figures")
+    return values
+
+
 def _plain(estimate: Estimate) -> list[float]:
     return [estimate.value, float(estimate.weight), estimate.at_us]
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 import pytest
+from helpers import fleet, pushes
 from hypothesis import given as examples
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -21,7 +22,10 @@
 from test_console import ask, read
 from test_program import HEADERS, SETTINGS, get, given, program
 
+from hazellead.decide import interface as api
+from hazellead.decide.choice import Dispatcher
 from hazellead.decide.known import Estimate, Known, KnownWorker
+from hazellead.decide.records import OWN
 from hazellead.lifecycle import state
 from hazellead.lifecycle.channel import Channel
 from hazellead.lifecycle.messages import Message, MessageError, Reader, encode
@@ -260,8 +264,8 @@
 def test_knowledge_crosses_by_name_and_what_is_malformed_is_refused() -> None:
     here = {"s-1": 1, "s-2": 2}
     e = Estimate(1.5, 3.0, 77)
-    known = Known((KnownWorker(1, 5, pace=e, spent=e), KnownWorker(2, 6, broke=e)), (e, Estimate(2.0)),
-                  (Estimate(3.0, 1.0, 1),), e)
+    workers = KnownWorker(1, 5, pace=e, own=tuple(range(len(OWN)))), KnownWorker(2, 6, broke=e)
+    known = Known(workers, (e, Estimate(2.0)), (Estimate(3.0, 1.0, 1),), e)
     body = json.loads(json.dumps(state.write(
         known, lambda n: {v: k for k, v in here.items()}[n], ["a", "b"], ["t"])))
     got = state.read(body, {"s-2": 9}.get, ["b", "new", "a"], ["u", "t"])
@@ -274,6 +278,31 @@
                 state.read(body | {key: wrong}, here.get, ["a", "b"], ["t"])
 
 
+def test_a_successor_goes_on_with_the_caution_of_the_process_before() -> None:
+    site = api.Settings((api.JobClass(100_000, 5_000_000, api.Effect.UNSAFE),), (api.Tenant(1, 50),),
+                        tick_us=4000, reports=False, tells_start=True, may_cancel=True)
+    old, new, errs = Dispatcher(site, 1), Dispatcher(site, 2), 2
+    old.handle(0, [fleet(4)])
+    for i in range(60):
+        now = 100_000 * (i + 1)
+        for push in pushes(old.handle(now, [api.Arrival(i, 0, 5_000_000)])):
+            outcome = api.Outcome.ERROR if push.worker == errs else api.Outcome.SERVED
+            old.handle(now + 8000, [
+                api.JobBegan(i, 0, push.worker),
+                api.AttemptEnded(i, 0, push.worker, outcome, 8000, outcome is api.Outcome.SERVED)])
+    assert old.avoided() == {errs} and old.workers[errs].failures > 2
+    new.handle(now + 20_000, [fleet(4)])
+    name, number = {n: f"s-{n}" for n in old.workers}, {f"s-{n}": n for n in old.workers}
+    body = json.loads(json.dumps(state.write(old.known(), name.__getitem__, ["a"], ["t"])))
+    new.learn(state.read(body, number.get, ["a"], ["t"]))
+    for field in OWN:
+        assert getattr(new.workers[errs], field) == getattr(old.workers[errs], field), field
+    assert new.avoided() == {errs}
+    due = new.workers[errs].next_trial
+    sent = pushes(new.handle(due - 4000, [api.Arrival(n, 0, 5_000_000) for n in range(100, 103)]))
+    assert sent and errs not in {p.worker for p in sent}, "a trial before its time"
+
+
 def test_descriptors_reach_the_other_side_and_none_is_left_open() -> None:
     async def case() -> None:
         one, other = socket.socketpair()
