Let a successor heed what the process before still has at workers

Need: a new process took workers for idle at which the old one's jobs had not begun, and pushed behind them. Change: the old one tells with each look what it has out by worker; Elsewhere brings it to the module, which sends nothing behind jobs that have not begun and counts those that run. The test fails without it: three jobs go behind others.

--- a/hazellead/core/scheduler.py
+++ b/hazellead/core/scheduler.py
@@ -52,6 +52,7 @@
         self._events: list[api.Event] = []
         self._tick = span(settings.tick_us)
         self._last, self._due, self._count = clock.now() - self._tick, False, 0
+        self._elsewhere: dict[int, tuple[int, int]] = {}
         self._emptied: Callable[[], None] | None = None
         self._end: datetime | None = None  # by when all is answered, once the end has been called
         self._transport: WorkerTransport
@@ -207,6 +208,21 @@
         there = [e.worker for e in self._listed.values() if e.phase is not api.Phase.GONE]
         return len(there), len(self._dispatcher.avoided().intersection(there))
 
+    def out(self) -> dict[int, tuple[int, int]]:
+        """Return, by worker, how many attempts are out and how many of them have not begun."""
+        out = dict[int, tuple[int, int]]()
+        for attempt in (a for r in self._requests.values() for a in r.attempts if a.outcome is None):
+            held, waiting = out.get(attempt.worker, (0, 0))
+            out[attempt.worker] = held + 1, waiting + (not attempt.started)
+        return out
+
+    def elsewhere(self, out: dict[int, tuple[int, int]]) -> None:
+        """Let the decisions know what another process of this scheduler has out."""
+        for worker in self._elsewhere.keys() | out.keys():
+            if (now := out.get(worker, (0, 0))) != self._elsewhere.get(worker, (0, 0)):
+                self._put(api.Elsewhere(worker, *now))
+        self._elsewhere = out
+
     # From attempts.
 
     def attempt_written(self) -> None:
--- a/hazellead/decide/choice.py
+++ b/hazellead/decide/choice.py
@@ -120,18 +120,17 @@
         self.checks: list[tuple[int, int, int]] = []  # when to look whether an attempt needs a second copy
         self.mean_run = sum(self.run_us) / len(self.run_us)
         self.now = self.accrued = self.sized_at = self.bound_at = self.wake_at = self.ask_at = -1
-        self.looking, self.looked_at, self.full, self.barren = 0, -1, False, False
+        self.asks, self.looking, self.looked_at, self.full, self.barren = 0, 0, -1, False, False
         self.reuse = float(settings.conn_idle_us)  # how long a connection may have idled and be trusted
         self.by_hint, self.kinds = Mean(1.0), dict[int, Mean]()  # run times over hints; a kind's over all
         self.unreached = 0.0  # part of the newest connects that failed
         self.failing = {False: LEARN, True: 0.0}  # part of the newest attempts at home, across that failed
         self.meet_at, self.strangers = 0, 0  # when the next stranger may have a trial job; those that failed
-        self.lates = LATE_MOST
-        self.asks, self.copies, self.probes, self.widest, self.watched = 0, 0.0, 100.0, 1.0, 0.0
+        self.lates, self.copies, self.probes, self.widest, self.watched = LATE_MOST, 0.0, 100.0, 1.0, 0.0
         self.takes: dict[type, Callable[[Any], None]] = {
             api.Arrival: self._arrive, api.AttemptEnded: self._ended, api.JobBegan: self._began,
             api.ProbeEnded: self._probed, api.WorkerList: self._listed,
-            api.Abandoned: self._abandoned, api.Retuned: self._retuned}
+            api.Abandoned: self._abandoned, api.Retuned: self._retuned, api.Elsewhere: self._elsewhere}
 
     def handle(self, now_us: int, events: Sequence[api.Event]) -> list[api.Action]:
         """Take in what happened and return what to do, in order."""
@@ -408,7 +407,7 @@
         if self.now < w.full_until:
             return 0.0
         if not self.settings.reports:  # any worker where no job of ours waits, by how few of ours run there
-            return 0.0 if w.unstarted else self.widest + w.slots / (1 + w.held)
+            return 0.0 if w.unstarted else self.widest + w.slots / (1 + w.held + w.theirs)
         free = w.slots - w.held
         if self.settings.dispatchers > 1:  # as a report fades, the average of the fleet's reports stands in
             known = max(0.0, 1 - (self.now - w.changed) / (STALE * w.period))
@@ -473,8 +472,7 @@
             return True
         if self.now >= w.drawn_until:
             warm = s.cold_from + (1 - s.cold_from) * max(0, self.now - w.cold_since) / s.warm_up_us
-            run = self.mean_run * max(w.pace, 1.0)
-            slots = w.slots
+            run, slots = self.mean_run * max(w.pace, 1.0), w.slots
             if not s.reports and self.near:  # what a worker carries when all use their quotas is a guide
                 slots = max(slots, self.even * s.dispatchers * self.mean_run / 1e6 / len(self.near))
             budget = COLD_SAFETY * s.fall_multiple * warm * s.fall_us * slots / run
@@ -545,6 +543,10 @@
                     if not self.settings.reports:  # nothing else tells of the queue there: let it run down
                         w.full_until = self.now + int(RUN_DOWN * wait)
 
+    def _elsewhere(self, event: api.Elsewhere) -> None:
+        if w := self.workers.get(event.worker):
+            w.elsewhere(event.held, event.waiting)
+
     def _ended(self, event: api.AttemptEnded) -> None:
         key = (event.request, event.attempt)
         if key not in self.flying:
@@ -661,9 +663,8 @@
                 w.blame = w.blame / 2 + 1
 
     def _answer(self, r: Request) -> None:  # refused if surely nothing ran, else failed
-        tenant = self.tenants[r.tenant]
-        wait = 1e6 * (tenant.throttle.waiting + 1) / max(tenant.share * self.rate, 1e-3)
-        wait = min(wait, self.settings.max_retry_after_us)
+        tenant, most = self.tenants[r.tenant], self.settings.max_retry_after_us
+        wait = min(1e6 * (tenant.throttle.waiting + 1) / max(tenant.share * self.rate, 1e-3), most)
         self.out.append(api.Fail(r.id) if r.tied() else api.Refuse(r.id, int(wait)))
         self._drop(r.id)
 
--- a/hazellead/decide/interface.py
+++ b/hazellead/decide/interface.py
@@ -241,6 +241,15 @@
     fresh: frozenset[int] = frozenset()
 
 
+@dataclass(slots=True, frozen=True)
+class Elsewhere:
+    """What the process whose place this one has taken still has out at a worker; ``waiting``: not begun."""
+
+    worker: int
+    held: float
+    waiting: int
+
+
 @dataclass(slots=True, frozen=True)
 class TimerFired:
     """A timer is due."""
@@ -249,7 +258,7 @@
 
 
 Event = (WorkerList | Arrival | JobBegan | AttemptEnded | Abandoned | ProbeEnded | PeerMessage | Retuned
-         | TimerFired)
+         | Elsewhere | TimerFired)
 
 
 @dataclass(slots=True, frozen=True)
--- a/hazellead/decide/records.py
+++ b/hazellead/decide/records.py
@@ -87,6 +87,8 @@
     outcome: api.Outcome | None = None
 
 
+_THEIRS = (-1, 0)  # stands in ``unstarted`` for jobs of another process
+
 # What a process that takes the place of ours goes on with: caution, and the budgets of cold workers.
 OWN = ("cold_since", "tickets", "drawn_until", "blame", "failures", "fulls", "full_until", "next_trial",
        "broke", "failed", "vouched", "slots")
@@ -103,6 +105,7 @@
     known: bool = True  # it was in our first list, has served us or has answered a probe
     drained: int = -1  # the start for which it was listed as draining; a later start lifts it
     held: float = 0.0  # slots in use by us
+    theirs: float = 0.0  # slots in use by the process whose place ours has taken
     others: float = 0.0  # slots in use by other dispatchers, as its reports tell
     slots: float = 2.0  # as reports tell (``told``); where none does, by accepts and refusals
     told: bool = False
@@ -146,6 +149,14 @@
             drain=door.Estimate(1.0, draining, self.seen),
             own=tuple(getattr(self, name) for name in OWN))
 
+    def elsewhere(self, held: float, waiting: int) -> None:
+        """Note what the process whose place ours has taken still has there, and what has not begun of it."""
+        self.theirs = held
+        if waiting:
+            self.unstarted.add(_THEIRS)
+        else:
+            self.unstarted.discard(_THEIRS)
+
     def inherit(self, own: tuple[float, ...]) -> None:
         """Go on where the process before left off: what it blamed is blamed, what it spent is spent."""
         for name, value in zip(OWN, own, strict=True):
--- a/hazellead/lifecycle/handover.py
+++ b/hazellead/lifecycle/handover.py
@@ -11,7 +11,7 @@
 import socket
 from collections.abc import Iterable
 from contextlib import suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum
 from typing import Any, Protocol
@@ -53,6 +53,32 @@
     lasting: bool  # it is a worker's
 
 
+@dataclass(slots=True, frozen=True)
+class Holds:
+    """What a process still has open: connections of clients and to workers, and attempts by worker's name.
+
+    Of attempts, how many are out and how many of these have not begun.
+    """
+
+    clients: int = 0
+    workers: int = 0
+    attempts: dict[str, tuple[int, int]] = field(default_factory=dict)
+
+    def body(self) -> dict[str, Any]:
+        """Write it as a message."""
+        return {"connections": self.clients, "workers": self.workers, "attempts": self.attempts}
+
+    @staticmethod
+    def read(message: Message) -> "Holds":
+        """Read it from a message; raises MessageError."""
+        given = message.body.get("attempts")
+        try:
+            attempts = {uid: (int(held), int(waiting)) for uid, (held, waiting) in given.items()}  # type: ignore[union-attr]
+        except (AttributeError, TypeError, ValueError):
+            raise MessageError("left.attempts is malformed") from None
+        return Holds(message.number("connections"), message.number("workers"), attempts)
+
+
 class Neighbour(Protocol):
     """What either process does for the other."""
 
@@ -62,8 +88,8 @@
     def adopt(self, moved: Moved) -> None:
         """Serve a connection from now on."""
 
-    def other_holds(self, connections: int, workers: int) -> None:
-        """Leave room for what the other process still has open."""
+    def other_holds(self, holds: "Holds") -> None:
+        """Leave room for what the other process still has open, and heed what it has at workers."""
 
 
 class Estate(Neighbour, Protocol):
@@ -81,8 +107,8 @@
     def movable(self) -> Iterable[Moved]:
         """Give up connections with no job on them, one by one."""
 
-    def holds(self) -> tuple[int, int]:
-        """Return how many connections of clients and to workers are still open."""
+    def holds(self) -> "Holds":
+        """Return what is still open here."""
 
 
 class Link:
@@ -133,7 +159,7 @@
         elif message.kind == "answered":
             self._answer(message.number("number"), message.number("status"))
         elif message.kind == "left":
-            self.neighbour.other_holds(message.number("connections"), message.number("workers"))
+            self.neighbour.other_holds(Holds.read(message))
         elif message.kind == "connections":
             try:
                 read = [base64.b64decode(text, validate=True) for text in message.texts("read")]
@@ -152,7 +178,7 @@
         """Settle what the other process will not answer any more: its jobs have ended with it."""
         for number in list(self._asked):
             self._answer(number, 200)
-        self.neighbour.other_holds(0, 0)
+        self.neighbour.other_holds(Holds())
 
 
 class _Step(Enum):
@@ -267,6 +293,7 @@
 
     def _move(self, channel: Channel) -> None:
         """Pass on what can be at this moment."""
+        self._send("left", self._estate.holds().body())
         while channel.open and channel.waiting < MOVED_AHEAD:
             some = list(itertools.islice(self._estate.movable(), MOST_DESCRIPTORS))
             if not some:
@@ -274,8 +301,6 @@
             channel.send(
                 "connections", [m.sock for m in some], read=[base64.b64encode(m.read).decode() for m in some],
                 flags=["p" * m.proven + "l" * m.lasting for m in some])
-        connections, workers = self._estate.holds()
-        self._send("left", {"connections": connections, "workers": workers})
 
     def _over(self, reason: str) -> None:
         step, self._step, self.channel = self._step, _Step.ALONE, None
@@ -400,5 +425,5 @@
         """Close."""
         moved.sock.close()
 
-    def other_holds(self, connections: int, workers: int) -> None:
+    def other_holds(self, holds: Holds) -> None:
         """Pass over."""
--- a/hazellead/platform/estate.py
+++ b/hazellead/platform/estate.py
@@ -12,7 +12,7 @@
 from hazellead.core.clock import Clock
 from hazellead.core.scheduler import Scheduler
 from hazellead.lifecycle import state
-from hazellead.lifecycle.handover import Bequest, HandoverError, Inheritance, Moved
+from hazellead.lifecycle.handover import Bequest, HandoverError, Holds, Inheritance, Moved
 from hazellead.lifecycle.machine import LifeCycle, Phase
 from hazellead.lifecycle.messages import MessageError
 from hazellead.net.server import HttpServer, pause
@@ -114,9 +114,10 @@
             if detached := c.detach():
                 yield Moved(*detached, proven=c.proven, lasting=c.lasting)
 
-    def holds(self) -> tuple[int, int]:
-        """Return how many connections of clients and to workers are still open."""
-        return len(self._server.connections), self._workers.pool.count()
+    def holds(self) -> Holds:
+        """Return what is still open here."""
+        attempts = {self._watch.name(worker): out for worker, out in self._scheduler.out().items()}
+        return Holds(len(self._server.connections), self._workers.pool.count(), attempts)
 
     def end(self) -> None:
         """Serve no successor any more."""
@@ -149,9 +150,11 @@
             with suppress(OSError):
                 moved.sock.close()
 
-    def other_holds(self, connections: int, workers: int) -> None:
+    def other_holds(self, holds: Holds) -> None:
         """Leave room for what the other process still has open: the bounds hold for both together."""
-        self._server.elsewhere, self._workers.pool.elsewhere = connections, workers
+        self._server.elsewhere, self._workers.pool.elsewhere = holds.clients, holds.workers
+        known = ((self._watch.number(uid), out) for uid, out in holds.attempts.items())
+        self._scheduler.elsewhere({number: out for number, out in known if number is not None})
 
 
 async def ask(given: Config, path: str) -> tuple[Config, Inheritance | None]:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -303,6 +303,19 @@
     assert sent and errs not in {p.worker for p in sent}, "a trial before its time"
 
 
+def test_a_successor_sends_nothing_behind_jobs_of_the_process_before_that_have_not_begun() -> None:
+    site = api.Settings((api.JobClass(100_000, 5_000_000, api.Effect.UNSAFE),), (api.Tenant(1, 50),),
+                        tick_us=4000, reports=False, tells_start=True)
+    for free in range(1, 5):
+        module = Dispatcher(site, free)
+        module.handle(0, [fleet(4), *(api.Elsewhere(w, 1, 1) for w in range(1, 5) if w != free)])
+        sent = pushes(module.handle(4000, [api.Arrival(n, 0, 5_000_000) for n in range(3)]))
+        assert [p.worker for p in sent] == [free], "the one worker where nothing waits, and only once"
+        began = [api.Elsewhere(w, 1, 0) for w in range(1, 5)]
+        [push] = pushes(module.handle(8000, began))  # the token for a third comes later
+        assert push.worker != free
+
+
 def test_descriptors_reach_the_other_side_and_none_is_left_open() -> None:
     async def case() -> None:
         one, other = socket.socketpair()
