--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 PYTHON = $(VENV)/bin/python
 
-.PHONY: build test lint run gearman measure-learning
+.PHONY: build test lint run gearman measure-learning measure-handover
 
 build: $(VENV)/dev
 
@@ -29,3 +29,7 @@
 # What learning from a running instance is worth and costs; some fifteen minutes on eight cores.
 measure-learning: build
 	$(PYTHON) -m hazellead.lab.measure_learning
+
+# What replacing a serving process costs its clients, against a restart; half a minute.
+measure-handover: build
+	$(PYTHON) -m hazellead.lab.measure_handover
--- a/hazellead/__main__.py
+++ b/hazellead/__main__.py
@@ -252,7 +252,7 @@
         self.sweeper.stop()
         self.drainer.stop()
         if self.estate:
-            self.estate.end()
+            await self.estate.end()
         if self.console:
             await self.console.finish()
         log.info("stopped")
--- a/hazellead/lifecycle/channel.py
+++ b/hazellead/lifecycle/channel.py
@@ -2,6 +2,7 @@
 
 import array
 import asyncio
+import errno
 import os
 import socket
 from collections import deque
@@ -11,6 +12,7 @@
 from hazellead.lifecycle.messages import MOST_DESCRIPTORS, Message, MessageError, Reader, encode
 
 _READ = 64 * 1024
+_PAUSE = 0.01  # seconds
 _SPACE = socket.CMSG_SPACE(4 * 2 * MOST_DESCRIPTORS)
 Taker = Callable[[Message, list[socket.socket]], None]
 
@@ -68,7 +70,10 @@
                 self._loop.add_writer(self._sock, self._writable)
                 return
             except OSError as error:
-                self.close(f"cannot write: {error.strerror}")
+                if error.errno == errno.ETOOMANYREFS:  # as many descriptors are on their way as may be
+                    self._loop.call_later(_PAUSE, self._writable)
+                else:
+                    self.close(f"cannot write: {error.strerror}")
                 return
             for sock in sockets:  # they go with the first byte
                 sock.close()
--- a/hazellead/lifecycle/handover.py
+++ b/hazellead/lifecycle/handover.py
@@ -36,6 +36,7 @@
     again: timedelta = timedelta(milliseconds=200)  # between tries while the other is in no state for it
     give_up: timedelta = timedelta(seconds=4)  # after so long of that
     move: timedelta = timedelta(milliseconds=20)  # between looks for connections that can be passed on
+    written: timedelta = timedelta(milliseconds=500)  # for the last messages of one that ends
     call_back: timedelta = timedelta(seconds=1)  # for a call-back passed on to be answered
 
 
@@ -220,6 +221,13 @@
             self._socket.close()
             self._socket = None
 
+    async def written(self) -> None:
+        """Wait for a moment until all that was passed on is on its way: it is lost with this process else."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + STEPS.written.total_seconds()
+        while self.channel and self.channel.open and self.channel.waiting and loop.time() < until:
+            await asyncio.sleep(STEPS.move.total_seconds())
+
     def end(self) -> None:
         """End for good: this process is about to exit."""
         self._final = True
--- a/hazellead/platform/estate.py
+++ b/hazellead/platform/estate.py
@@ -119,9 +119,10 @@
         attempts = {self._watch.name(worker): out for worker, out in self._scheduler.out().items()}
         return Holds(len(self._server.connections), self._workers.pool.count(), attempts)
 
-    def end(self) -> None:
+    async def end(self) -> None:
         """Serve no successor any more."""
         if self._bequest:
+            await self._bequest.written()
             self._bequest.end()
         for sock in self._kept:
             sock.close()
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -70,6 +70,11 @@
     async def case() -> None:
         port, console = free_port(), free_port()
         async with program(tmp_path, port, console=f"127.0.0.1:{console}") as process:
+            async def crowd() -> None:
+                while True:  # clients that keep the scheduler's one loop busy
+                    await asyncio.gather(*(get(port, "/up") for _ in range(40)))
+
+            busy = asyncio.ensure_future(crowd())
             silent = [await asyncio.open_connection("127.0.0.1", console) for _ in range(200)]
             for _, writer in silent[::2]:
                 writer.write(b"GET /admin/he")
@@ -78,6 +83,7 @@
                 assert (await ask(console, "/admin/health"))[0] == 200
                 assert asyncio.get_running_loop().time() - began < 1
                 await asyncio.sleep(0.3)
+            busy.cancel()
             assert await get(port, "/up") == 200  # clients' room is not touched
             for status, target, method in ((404, "/admin", "GET"), (404, "/up", "GET"),
                                            (405, "/admin/stats", "PUT"), (405, "/admin/quiesce", "GET"),
--- a/tests/test_gearman_front.py
+++ b/tests/test_gearman_front.py
@@ -376,3 +376,40 @@
             assert await refused.reader.read() == b""
 
     run(case())
+
+
+def test_gearman_jobs_count_and_a_drain_spares_workers_and_waiting_clients(tmp_path: Path) -> None:
+    async def case() -> None:
+        count, go = Counter[bytes](), asyncio.Event()
+
+        async def act(peer: GearmanPeer, handle: bytes, workload: bytes) -> None:
+            await go.wait()
+            await complete(peer, handle, workload)
+
+        quick = {"drain_settle": timedelta(milliseconds=50), "drain_take": timedelta(milliseconds=200)}
+        worker = GearmanWorker("post-1", count, act)
+        async with scheduler(tmp_path, ONE, **quick) as s, workers(s.port, worker):
+            waits, idle = await GearmanPeer.connect(s.port), await GearmanPeer.connect(s.port)
+            assert await idle.lines("workers")
+            await submit(waits, b"a")
+            await waits.expect(Type.WORK_STATUS)
+            assert s.program.quiesce() and not s.program.life.up
+            with pytest.raises(ConnectionError):
+                await idle.packet()
+            await until(lambda: not s.program.takes_jobs())
+            await submit(waits, b"b")
+            await waits.expect(Type.WORK_FAIL)
+            go.set()
+            assert (await waits.expect(Type.WORK_COMPLETE)).args[1] == b"posted a"
+            with pytest.raises(ConnectionError):
+                await waits.packet()
+            figures = s.program.stats().splitlines()
+            assert {"svc.replies.post-payment.success:1|c", "svc.replies.post-payment.overload:1|c",
+                    "svc.dispatches:1|c", "svc.concurrent:0|g", "svc.targets:1|g"} <= set(figures)
+            assert s.program.resume() and s.program.life.up
+            again = await GearmanPeer.connect(s.port)
+            await submit(again, b"c")
+            assert (await again.expect(*FINAL)).args[1] == b"posted c" and count.total() == 2
+            again.close()
+
+    run(case())
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -1,6 +1,7 @@
 """One process replaced by the next: under load, and with partners that hang, garble or die at any step."""
 
 import asyncio
+import errno
 import json
 import os
 import signal
@@ -342,3 +343,38 @@
         assert not a.open and not b.open and len(os.listdir("/proc/self/fd")) == before - 2
 
     run(case())
+
+
+class Stingy(socket.socket):
+    """Will not take descriptors at first, as when too many are on their way."""
+
+    refused = 0
+
+    def sendmsg(self, *args: Any) -> int:
+        if args[1] and self.refused < 3:
+            self.refused += 1
+            raise OSError(errno.ETOOMANYREFS, "too many references")
+        return super().sendmsg(*args)
+
+
+def test_descriptors_that_cannot_go_yet_go_later() -> None:
+    async def case() -> None:
+        near, other = socket.socketpair()
+        stingy, got = Stingy(fileno=near.detach()), list[int]()
+
+        def taker(message: Message, sockets: list[socket.socket]) -> None:
+            got.append(len(sockets))
+            for sock in sockets:
+                sock.close()
+
+        a = Channel(stingy, taker, lambda reason: None)
+        b = Channel(other, taker, lambda reason: None)
+        a.send("connections", [socket.socket()])
+        a.send("left")
+        assert a.waiting == 2 and a.open
+        await until(lambda: got == [1, 0])
+        assert stingy.refused == 3 and not a.waiting
+        a.close()
+        b.close()
+
+    run(case())
