--- a/tests/test_gearman_front.py
+++ b/tests/test_gearman_front.py
@@ -389,6 +389,7 @@
         quick = {"drain_settle": timedelta(milliseconds=50), "drain_take": timedelta(milliseconds=200)}
         worker = GearmanWorker("post-1", count, act)
         async with scheduler(tmp_path, ONE, **quick) as s, workers(s.port, worker):
+            await s.program.start()
             waits, idle = await GearmanPeer.connect(s.port), await GearmanPeer.connect(s.port)
             assert await idle.lines("workers")
             await submit(waits, b"a")
