--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,6 @@
 measure-learning: build
 	$(PYTHON) -m hazellead.lab.measure_learning
 
-# What replacing a serving process costs its clients, against a restart; half a minute.
+# What replacing a serving process costs its clients, against a restart; a minute.
 measure-handover: build
 	$(PYTHON) -m hazellead.lab.measure_handover
--- a/hazellead/lab/measure_handover.py
+++ b/hazellead/lab/measure_handover.py
@@ -1,6 +1,6 @@
 """Measures what replacing a serving process costs its clients, against restarting it, under the same load.
 
-Real processes and stand-in workers on loopback, open arrivals from a seed; half a minute. Run it with
+Real processes and stand-in workers on loopback, open arrivals from a seed; a minute. Run it with
 ``make measure-handover``.
 """
 
