--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -98,13 +98,23 @@
                     all_workers[3].serving(), start(0) as old):
             load = [asyncio.ensure_future(client(i)) for i in range(8)] + [asyncio.ensure_future(front())]
             await asyncio.sleep(0.7)
+            back, line = await asyncio.open_connection("127.0.0.1", port)  # a worker's, for call-backs
+
+            async def told_on_it() -> int:
+                body = b'{"id":"none","from":"s-1","state":"done","result":""}'
+                line.write(http.request("POST", "/v1/job-events", "x", {}, body))
+                return int((await http_message(back))[0].split()[1])
+
+            assert await told_on_it() == 200
 
             async def replaced(process: Any, i: int) -> None:
                 assert (await ask(consoles[i], "/admin/health"))[0] == 200
                 assert (await ask(consoles[i - 1], "/admin/quiesce", "PUT"))[0] == 409
                 assert (await http_post(port, "/post-payment", b"x", HEADERS.format("id1")))[0] == 409
                 process.send_signal(signal.SIGTERM)
+                assert await told_on_it() == 200
                 assert await asyncio.wait_for(process.wait(), 5) == 0
+                assert await told_on_it() == 200
                 await asyncio.sleep(0.5)
                 got = read((await ask(consoles[i]))[1])
                 assert got["replies.post-payment.success"] > 4 and got["targets"] == 4
@@ -115,6 +125,7 @@
                     await replaced(second, 2)
                     stop.set()
                     await asyncio.gather(*load)
+                    line.close()
             assert set(answers) <= {(200, True), (429, False)}, answers  # some may be over a share
             assert answers.total() == sent and answers[200, True] > sent / 2
             assert set(count.values()) == {1} and len(count) == answers[200, True]
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -51,6 +51,12 @@
             self.emptied = None
         assert not self.life.resume(self.now)
 
+    @rule()
+    def hang_up(self) -> None:
+        was = self.life.phase, self.life.up, self.life.takes_jobs(self.now)
+        self.life.repace(Pace(SETTLE, TAKE, SERVE))  # what SIGHUP may bring
+        assert was == (self.life.phase, self.life.up, self.life.takes_jobs(self.now))
+
     @rule()
     def hand_over(self) -> None:
         if self.life.hand_over(self.now):
