Heed a SIGHUP that comes while the program starts once it is ready

Need: a signal between the start's reading of the file and ready was ignored, and with it the new settings; a replacement makes such starts more frequent. Cause: __main__.main() set SIG_IGN until the loop's handler stood. Change: it is noted, and the file read again when ready. The test fails without it.

--- a/hazellead/__main__.py
+++ b/hazellead/__main__.py
@@ -268,8 +268,8 @@
     return config.load(os.environ), None
 
 
-async def serve(operators_file: str | None) -> None:
-    """Serve until SIGTERM or SIGINT; read the configuration again at each SIGHUP."""
+async def serve(operators_file: str | None, early: list[int]) -> None:
+    """Serve until SIGTERM or SIGINT; read the configuration again at each SIGHUP, ``early`` ones included."""
     loop, terminated = asyncio.get_running_loop(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, terminated.set)
@@ -292,6 +292,9 @@
             log.error("config_kept", reason=str(error))
 
     loop.add_signal_handler(signal.SIGHUP, reload)
+    if early:
+        # The file that the start has read may be the one before.
+        reload()
     await terminated.wait()
     await program.stop()
     # Guards the exit code against one that comes while the interpreter ends.
@@ -301,13 +304,14 @@
 def main() -> int:
     """Run the scheduler; a configuration that cannot be used ends it with one plain line."""
     set_up_log()
-    # Guards against ending by a SIGHUP that comes before the loop listens for it.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # Guards against ending by a SIGHUP that comes before it is ready, and against losing it.
+    early: list[int] = []
+    signal.signal(signal.SIGHUP, lambda number, _: early.append(number))
     if len(sys.argv) > 2:
         print("hazellead: usage: python -m hazellead [OPERATOR_FILE]", file=sys.stderr)
         return 2
     try:
-        asyncio.run(serve(sys.argv[1] if len(sys.argv) == 2 else None))
+        asyncio.run(serve(sys.argv[1] if len(sys.argv) == 2 else None, early))
     except config.ConfigError as error:
         print(f"hazellead: {error}", file=sys.stderr)
         return 2
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -242,6 +242,37 @@
     run(case())
 
 
+def test_a_sighup_that_comes_while_it_starts_is_heeded_once_it_is_ready(tmp_path: Path) -> None:
+    async def case() -> None:
+        port, asked = free_port(), asyncio.Event()
+
+        async def hang(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.read(4096)
+            asked.set()
+
+        # A start that takes its time: it asks one that never answers to leave it the address.
+        server = await asyncio.start_unix_server(hang, str(tmp_path / f"hazellead-{port}.sock"))
+        config = tmp_path / "config.json"
+        first = given(port) | {"console": f"127.0.0.1:{free_port()}"}
+        config.write_text(json.dumps(first))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "hazellead", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+            env={"GW_CONFIG": str(config), "TMPDIR": str(tmp_path)})
+        assert process.stderr
+        await asyncio.wait_for(asked.wait(), 10)
+        rows = [*SETTINGS["requestClasses"], SETTINGS["requestClasses"][0] | {"name": "refund"}]
+        config.write_text(json.dumps(first | {"settings": SETTINGS | {"requestClasses": rows}}))
+        process.send_signal(signal.SIGHUP)
+        while b"event=config_read" not in (line := await process.stderr.readline()):
+            assert line, "ended"
+        assert (await http_post(port, "/refund", b"", HEADERS.format("1")))[0] == 429  # known; no worker is
+        process.send_signal(signal.SIGTERM)
+        assert await asyncio.wait_for(process.wait(), 8) == 0
+        server.close()
+
+    run(case())
+
+
 PLAIN = st.dictionaries(
     st.text(max_size=5).filter(lambda k: k != "kind"),
     st.none() | st.integers() | st.text(max_size=9) | st.lists(st.text(max_size=3)), max_size=3)
