Hand tenants' counters over, and tell ids that the old process takes after the hand-over

Need: a replacement gave each tenant a bank of tokens anew, and an id whose head had come before the hand-over was open in the old process only. Change: Known.tokens, for a successor alone; the old process tells ids with each look.

--- a/hazellead/decide/choice.py
+++ b/hazellead/decide/choice.py
@@ -195,7 +195,8 @@
         return Known(
             tuple(w.seen_here() for w in self.workers.values()),
             tuple(Estimate(m.value, m.count, self.now) for m in self.ran), tuple(demand),
-            Estimate(self.factor, min(m.count for m in self.ran), self.now))
+            Estimate(self.factor, min(m.count for m in self.ran), self.now),
+            tuple(t.throttle.tokens for t in self.tenants))
 
     def avoided(self) -> set[int]:
         """Return the workers that get no ordinary jobs at present: they drain, are gone, or are doubted."""
@@ -222,8 +223,7 @@
                 w.blame = max(w.blame, k.blame.value)
             if k.broke.weight > 0 and w.cold_since < k.broke.at_us <= self.now:
                 w.cold_since, w.drawn_until = k.broke.at_us, 0
-            if k.own and fresh:
-                w.inherit(k.own)
+            w.inherit(k.own if fresh else ())
             if k.drain.weight > 0 and w.drained < 0:
                 w.full_until = max(w.full_until, k.drain.at_us)
         for c, theirs in enumerate(known.runs):
@@ -233,10 +233,11 @@
             self.watched = min(MEMORY * self.mean_run / 1e6, *(d.weight for d in known.demand))
             for t, theirs in zip(self.tenants, known.demand, strict=False):
                 t.asked = theirs.value * self.watched
+        for t, tokens in zip(self.tenants, known.tokens, strict=False):
+            t.throttle.level = t.throttle.buffer + tokens
         if known.factor.weight > 0 and fresh:
             self.factor = max(known.factor.value, FLOOR)
-        if self.now >= 0:
-            self._size()
+        self._size()
 
     # Admission: the throttle of the design.
 
@@ -603,8 +604,7 @@
             tenant.erring += LEARN * ((outcome is api.Outcome.ERROR) - tenant.erring)
         if outcome in api.FAULTS and not self._theirs(attempt):
             self.strangers += not w.known
-            # One broken connection is chance. What breaks again before it has served may be down, or may have
-            # restarted with no word of it.
+            # One broken connection is chance; what breaks again before it has served may have restarted.
             chance = outcome is api.Outcome.RESET and not w.failures
             w.blame = w.blame / 2 + (SLIP if chance else 1)
             if outcome is api.Outcome.RESET and not chance:
--- a/hazellead/decide/known.py
+++ b/hazellead/decide/known.py
@@ -42,3 +42,4 @@
     runs: tuple[Estimate, ...] = ()  # mean run times by class, in microseconds
     demand: tuple[Estimate, ...] = ()  # slots a second asked for, by tenant
     factor: Estimate = Estimate()  # of the rate
+    tokens: tuple[float, ...] = ()  # banked by each tenant; for a process that takes the place of ours
--- a/hazellead/decide/records.py
+++ b/hazellead/decide/records.py
@@ -159,5 +159,5 @@
 
     def inherit(self, own: tuple[float, ...]) -> None:
         """Go on where the process before left off: what it blamed is blamed, what it spent is spent."""
-        for name, value in zip(OWN, own, strict=True):
+        for name, value in zip(OWN, own, strict=False):
             setattr(self, name, type(getattr(self, name))(value))
--- a/hazellead/lifecycle/handover.py
+++ b/hazellead/lifecycle/handover.py
@@ -58,16 +58,19 @@
 class Holds:
     """What a process still has open: connections of clients and to workers, and attempts by worker's name.
 
-    Of attempts, how many are out and how many of these have not begun.
+    Of attempts, how many are out and how many of these have not begun. ``taken`` are ids that it has taken
+    since it last told: of requests whose head had come before the hand-over.
     """
 
     clients: int = 0
     workers: int = 0
     attempts: dict[str, tuple[int, int]] = field(default_factory=dict)
+    taken: list[str] = field(default_factory=list)
 
     def body(self) -> dict[str, Any]:
         """Write it as a message."""
-        return {"connections": self.clients, "workers": self.workers, "attempts": self.attempts}
+        return {"connections": self.clients, "workers": self.workers, "attempts": self.attempts,
+                "taken": self.taken}
 
     @staticmethod
     def read(message: Message) -> "Holds":
@@ -77,7 +80,8 @@
             attempts = {uid: (int(held), int(waiting)) for uid, (held, waiting) in given.items()}  # type: ignore[union-attr]
         except (AttributeError, TypeError, ValueError):
             raise MessageError("left.attempts is malformed") from None
-        return Holds(message.number("connections"), message.number("workers"), attempts)
+        return Holds(
+            message.number("connections"), message.number("workers"), attempts, message.texts("taken"))
 
 
 class Neighbour(Protocol):
--- a/hazellead/lifecycle/state.py
+++ b/hazellead/lifecycle/state.py
@@ -4,7 +4,7 @@
 """
 
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import fields
 from typing import Any
 
@@ -24,7 +24,7 @@
                     | {f: _plain(getattr(w, f)) for f in _FACTS} for w in known.workers],
         "runs": {c: _plain(e) for c, e in zip(classes, known.runs, strict=False)},
         "demand": {t: _plain(e) for t, e in zip(tenants, known.demand, strict=False)},
-        "factor": _plain(known.factor),
+        "factor": _plain(known.factor), "tokens": dict(zip(tenants, known.tokens, strict=False)),
     }
 
 
@@ -38,18 +38,25 @@
             for w in body["workers"] if (n := number(str(w["uid"]))) is not None]
         runs, demand = ({str(k): _estimate(v) for k, v in body[key].items()} for key in ("runs", "demand"))
         return Known(tuple(workers), tuple(runs.get(c, Estimate()) for c in classes),
-                     tuple(demand.get(t, Estimate()) for t in tenants), _estimate(body["factor"]))
+                     tuple(demand.get(t, Estimate()) for t in tenants), _estimate(body["factor"]),
+                     _finite(body["tokens"].get(t, 0.0) for t in tenants))
     except (AttributeError, KeyError, TypeError, ValueError, OverflowError) as error:
         raise MessageError(f"malformed knowledge: {error}") from None
 
 
 def _own(given: Any) -> tuple[float, ...]:
-    values = tuple(float(value) for value in given)
-    if len(values) not in (0, len(OWN)) or not all(map(math.isfinite, values)):
+    if len(values := _finite(given)) not in (0, len(OWN)):
         raise ValueError("own figures")
     return values
 
 
+def _finite(given: Iterable[Any]) -> tuple[float, ...]:
+    values = tuple(float(value) for value in given)
+    if not all(map(math.isfinite, values)):
+        raise ValueError("no finite figures")
+    return values
+
+
 def _plain(estimate: Estimate) -> list[float]:
     return [estimate.value, float(estimate.weight), estimate.at_us]
 
--- a/hazellead/platform/estate.py
+++ b/hazellead/platform/estate.py
@@ -34,6 +34,7 @@
         """Act on these. With an ``heir`` another process serves at the address; else listen now."""
         self._life, self._clock, self._scheduler, self._server = life, clock, scheduler, server
         self._workers, self._watch, self._names = workers, watch, names
+        self._told = set[str]()  # ids that the process after this one knows
         self._kept: list[socket.socket] = []  # the listening sockets, while another process accepts on them
         self._path, self._listen, self._heir = path, listen, heir
         self._bequest: Bequest | None = None
@@ -100,6 +101,7 @@
         self._kept = pause(self._server)
         self._workers.pool.release_all()
         open_, ended = self._scheduler.identities()
+        self._told = set(open_)
         return {"open": open_, "ended": ended}
 
     def take_back(self) -> None:
@@ -117,7 +119,10 @@
     def holds(self) -> Holds:
         """Return what is still open here."""
         attempts = {self._watch.name(worker): out for worker, out in self._scheduler.out().items()}
-        return Holds(len(self._server.connections), self._workers.pool.count(), attempts)
+        open_, _ = self._scheduler.identities()
+        taken = [identity for identity in open_ if identity not in self._told]
+        self._told.update(taken)
+        return Holds(len(self._server.connections), self._workers.pool.count(), attempts, taken)
 
     async def end(self) -> None:
         """Serve no successor any more."""
@@ -156,6 +161,7 @@
         self._server.elsewhere, self._workers.pool.elsewhere = holds.clients, holds.workers
         known = ((self._watch.number(uid), out) for uid, out in holds.attempts.items())
         self._scheduler.elsewhere({number: out for number, out in known if number is not None})
+        self._scheduler.remember(holds.taken)
 
 
 async def ask(given: Config, path: str) -> tuple[Config, Inheritance | None]:
