Keep call-backs in the old process until its successor serves; steady the load test

(1) A defect: a late call-back that reached the old process between offer and commit was passed to the successor, which is still being built, took it for a wrong answer (handover_refused: the serving process said call_back), found the address in use and ended with 2. Cause: pass_call_back asked whether the channel is open, not whether both sides serve. (2) The stand-in told a job's start only with its end, so that workers looked full and the one job that the test needs was refused with 429. Change: Link.joined; the stand-in tells the start at once. A test provokes (1) each time and fails without the change.

--- a/hazellead/lifecycle/handover.py
+++ b/hazellead/lifecycle/handover.py
@@ -131,11 +131,16 @@
         """Say whether the other process can be reached."""
         return self.channel is not None and self.channel.open
 
+    @property
+    def joined(self) -> bool:
+        """Say whether both processes serve, so that a call-back may be for the other."""
+        raise NotImplementedError
+
     def pass_call_back(
         self, identity: str, sender: str, state: str, rest: Any,
     ) -> "asyncio.Future[int] | None":
         """Pass a call-back on; the future gives the answer, 503 if none comes. None: nobody is there."""
-        if not self.open or self.channel is None:
+        if not self.joined or self.channel is None:
             return None
         number, answer = next(self._numbers), asyncio.get_running_loop().create_future()
         self._asked[number] = answer
@@ -209,6 +214,11 @@
         """Say whether a successor serves."""
         return self._step is _Step.SUCCEEDED
 
+    @property
+    def joined(self) -> bool:
+        """Say whether a successor serves: one that is still built can take nothing but the next step."""
+        return self.open and self._step is _Step.SUCCEEDED
+
     def begin(self) -> None:
         """Listen; where that cannot be, say so and go on without."""
         try:
@@ -348,6 +358,11 @@
         self._waiting: asyncio.Future[Message] | None = None
         self._serving = False
 
+    @property
+    def joined(self) -> bool:
+        """Say whether this process serves beside the other."""
+        return self.open and self._serving
+
     async def ask(self, path: str, listen: str) -> bool:
         """Ask whoever serves for its estate. False: nobody does, or it cannot be asked.
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -36,11 +36,12 @@
 
 
 class Later(HttpWorker):
-    """A worker that tells of a job's end a while after it took it, on a connection of its own."""
+    """A worker that tells of a job's end a while after its start, on a connection of its own."""
 
     async def later(self, identity: str, body: bytes) -> None:
-        await asyncio.sleep(0.25)
+        # At once: nothing goes to a worker where a job waits for its start, so that jobs would be refused.
         assert await self.call_back(identity, state="started") == 200
+        await asyncio.sleep(0.25)
         assert await self.call_back(identity, state="done", result=f"posted {body.decode()}") == 200
         assert await self.call_back(identity, state="done", result="again") == 200
 
@@ -189,6 +190,29 @@
     run(case())
 
 
+def test_a_call_back_that_comes_while_a_successor_is_built_stays_with_the_old_process(tmp_path: Path) -> None:
+    async def case() -> None:
+        port = free_port()
+        async with program(tmp_path / "a", port, console=f"127.0.0.1:{free_port()}"):
+            path = str(tmp_path / f"hazellead-{port}.sock")
+            await until(lambda: os.path.exists(path))
+            reader, writer = await asyncio.open_unix_connection(path)
+            messages = Reader()
+
+            async def said() -> list[str]:
+                return [m.kind for m in messages.feed(await asyncio.wait_for(reader.read(1 << 20), 5))]
+
+            writer.write(encode(Message("hello", {"version": 1, "listen": f"127.0.0.1:{port}"})))
+            assert await said() == ["offer"]
+            late = b'{"id":"none","from":"s-1","state":"done","result":""}'
+            assert (await http_post(port, "/v1/job-events", late))[0] == 200
+            writer.write(encode(Message("ready", {})))
+            assert await said() == ["commit"]
+            writer.close()
+
+    run(case())
+
+
 def test_one_that_hangs_in_the_hand_over_is_given_up_and_the_next_succeeds(tmp_path: Path) -> None:
     async def case() -> None:
         port = free_port()
