Tidy the new parts: one check of a call-back, one kind of moved connection, fewer copies

Written twice before: the check of a call-back's body (Link and Front; now workers.fault), a detached connection (a tuple and flags in net/, Moved in lifecycle/; now net's Detached), life-cycle times (Pace copied Limits), the hand-over's path and its condition (now Config.handover), an HTTP exchange by hand in the laboratory (now net's streams and read_response). Work for nothing: each 20 ms of a hand-over copied up to 4,096 ended ids to look at the open ones; a reload numbered a generation also where settings had not changed. Dead: LifeCycle.ends, Bequest.succeeded. The address that a successor must name is now the configuration's on both sides; before, one named by a host name was compared with its number and refused.

--- a/hazellead/__main__.py
+++ b/hazellead/__main__.py
@@ -23,7 +23,7 @@
 from hazellead.core.clock import Clock
 from hazellead.core.generations import Generation
 from hazellead.core.scheduler import Scheduler
-from hazellead.lifecycle.machine import LifeCycle, Pace, Phase
+from hazellead.lifecycle.machine import LifeCycle, Phase
 from hazellead.net.server import HttpServer
 from hazellead.platform import config
 from hazellead.platform.clients import Front
@@ -78,8 +78,8 @@
         """
         self.given, self.operators = given, operators
         clock, self.limits = Clock(), given.limits
-        self.clock, limits = clock, given.limits
-        self.life = LifeCycle(Pace(limits.drain_settle, limits.drain_take, limits.serve_on), clock.now())
+        self.clock = clock
+        self.life = LifeCycle(given.limits, clock.now())
         self.figures = Figures()
         self.figures.serve(given.names.classes)
         self.scheduler = Scheduler(
@@ -109,12 +109,12 @@
             console_limits = given.limits.for_console()
             self.console = HttpServer(console_limits, clock, Console(self).handle, lambda: True)
             listen(self.console, given.console, console_limits.backlog)
-        if self.watch and (path := config.handover_path(given, os.environ)) and not operators:
+        if self.watch and given.handover:
             from hazellead.platform import estate
 
             self.estate = estate.PlatformEstate(
-                self.life, clock, self.scheduler, self.server, workers, self.watch, lambda: self.given.names,
-                path, lambda: listen(self.server, given.listen, given.limits.backlog), heir)
+                self.life, clock, self.scheduler, self.server, workers, self.watch, given,
+                lambda: listen(self.server, given.listen, given.limits.backlog), heir)
         else:
             listen(self.server, given.listen, self.limits.backlog)
         if operators and operators.gearman and self.gearman:
@@ -182,14 +182,12 @@
             raise config.ConfigError("discovery is missing")
         if operators is None:
             config.complete(self.given, given)
-        try:
-            generation = self.scheduler.following(given.settings, given.names.classes, given.names.tenants)
-        except ValueError as error:
-            raise config.ConfigError(f"settings: {error}") from None
-        retuned = (given.settings, given.names) != (self.given.settings, self.given.names)
-        kept = config.fixed(self.given, given)
-        if retuned and self.peers:  # facts go by the numbers of a start's classes
-            retuned, kept = False, [*kept, "settings"]
+        kept, generation = config.fixed(self.given, given), None
+        if (given.settings, given.names) != (self.given.settings, self.given.names):
+            if self.peers:  # facts go by the numbers of a start's classes
+                kept.append("settings")
+            else:
+                generation = self._following(given)
         new, held = operators, self.operators
         if new and held:
             kept += [part for part in ("gearman", "peers")
@@ -202,12 +200,19 @@
             kept += commit() if commit else []
         if self.watch and given.discovery:
             self.watch.move(given.discovery)
-        if retuned:
+        if generation:
             self._retune(generation, given)
         if kept:
             log.warning("config_needs_restart", changed=",".join(kept))
         log.info("config_read")
 
+    def _following(self, given: config.Config) -> Generation:
+        """Return the generation that its settings would be; raises ConfigError."""
+        try:
+            return self.scheduler.following(given.settings, given.names.classes, given.names.tenants)
+        except ValueError as error:
+            raise config.ConfigError(f"settings: {error}") from None
+
     def _retune(self, generation: Generation, given: config.Config) -> None:
         """Bring settings in force: for the module and the fronts in one step, and for jobs from now on."""
         self.scheduler.retune(generation)
@@ -215,10 +220,11 @@
         self.figures.serve(given.names.classes)
         if self.watch:
             self.watch.rename(given.names)
-        limits = self.limits = self.limits.paced_as(given.limits)
-        self.life.repace(Pace(limits.drain_settle, limits.drain_take, limits.serve_on))
+        self.limits = self.limits.paced_as(given.limits)
+        self.life.repace(self.limits)
         held = self.given
-        self.given = replace(given, name=held.name, listen=held.listen, console=held.console, limits=limits)
+        self.given = replace(
+            given, name=held.name, listen=held.listen, console=held.console, limits=self.limits)
         log.info("settings_changed", generation=generation.number, classes=",".join(given.names.classes))
 
     async def stop(self) -> None:
@@ -274,11 +280,11 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, terminated.set)
     given, operators = load(operators_file)
-    path, heir = config.handover_path(given, os.environ), None
-    if path and not operators and os.path.exists(path):
+    heir = None
+    if given.handover and os.path.exists(given.handover):
         from hazellead.platform import estate
 
-        given, heir = await estate.ask(given, path)
+        given, heir = await estate.ask(given, given.handover)
     program = Program(given, operators, heir)
     await program.start()
 
--- a/hazellead/core/scheduler.py
+++ b/hazellead/core/scheduler.py
@@ -83,9 +83,10 @@
 
     def refuse(self, job: Job, reply: ClientReply) -> None:
         """Turn a job away that a front does not want to bring."""
-        if self._tally:
-            self._tally.ended(job.class_name, "overload")
-        reply.refused(self.limits.busy_retry)
+        self._counted(job, reply).refused(self.limits.busy_retry)
+
+    def _counted(self, job: Job, reply: ClientReply) -> ClientReply:
+        return Counted(reply, self._tally, job.class_name) if self._tally else reply
 
     def following(
         self, settings: api.Settings, classes: Sequence[str], tenants: Sequence[str],
@@ -101,9 +102,15 @@
         self._tick = span(self.settings.tick_us)
         self._put(api.Retuned(self.settings, generation.fresh))
 
-    def identities(self) -> tuple[list[str], list[str]]:
-        """Return the ids that are open and those that have lately ended, the oldest first."""
-        return list(self._identities), list(self._ended)
+    @property
+    def open_identities(self) -> frozenset[str]:
+        """Return the ids that are open."""
+        return frozenset(self._identities)
+
+    @property
+    def ended_identities(self) -> list[str]:
+        """Return the ids that have lately ended, the oldest first."""
+        return list(self._ended)
 
     def remember(self, identities: Iterable[str]) -> None:
         """Take these ids as used."""
@@ -114,7 +121,7 @@
     def submit(self, job: Job, reply: ClientReply) -> int:
         """Take a job in and return the number by which it can be abandoned."""
         self._count += 1
-        reply = Counted(reply, self._tally, job.class_name) if self._tally else reply
+        reply = self._counted(job, reply)
         if job.identity in self._identities:
             # Guards against posting twice: the same id again may concern a job that runs at this moment.
             reply.failed("this id is being worked on")
--- a/hazellead/lab/measure_handover.py
+++ b/hazellead/lab/measure_handover.py
@@ -8,7 +8,6 @@
 import json
 import os
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -21,16 +20,22 @@
 from statistics import median
 from typing import Any
 
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.testing import bind_unused_port
+
 from hazellead.lab.checker import RuleChecker
 from hazellead.lab.fleet import draw_fleet
 from hazellead.lab.measure import Report
 from hazellead.lab.sockets import HOST, HttpFleet
-from hazellead.net import http
+from hazellead.limits import Limits
+from hazellead.net import http, streams
+from hazellead.net.client import read_response
 
 ROOT = Path(__file__).parents[2]
 SEED, WORKERS, PER_S, CLIENTS, ROUNDS, APART_S = 1, 8, 40.0, 24, 5, 2.5
 WORK_S = 0.15
 SOCKETS, MEMORY_MB = 256, 32
+LIMITS = Limits()
 
 
 @dataclass(slots=True)
@@ -46,10 +51,9 @@
 
 
 def _port() -> int:
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        port: int = sock.getsockname()[1]
-        return port
+    sock, port = bind_unused_port()
+    sock.close()
+    return port
 
 
 class Scheduler:
@@ -82,12 +86,13 @@
 
     async def healthy(self) -> bool:
         """Ask the console."""
-        with suppress(OSError, asyncio.IncompleteReadError):
-            reader, writer = await asyncio.open_connection(HOST, self.console)
-            writer.write(http.request("GET", "/admin/health", "console"))
-            line = await reader.readline()
-            writer.close()
-            return b" 200 " in line
+        with suppress(StreamClosedError, TimeoutError):
+            stream = await streams.connect(HOST, self.console, LIMITS)
+            try:
+                await stream.write(http.request("GET", "/admin/health", "console"))
+                return (await read_response(stream, LIMITS)).status == 200
+            finally:
+                stream.close()
         return False
 
     async def end(self) -> float:
@@ -138,7 +143,7 @@
             self._jobs.put_nowait((f"job-{number}", due, rng.expovariate(1 / WORK_S)))
 
     async def _client(self) -> None:
-        line: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+        line: IOStream | None = None
         while True:
             identity, due, work = await self._jobs.get()
             self._checker.took(identity, "n1", (time.time_ns() // 1000) + 5_000_000)
@@ -154,30 +159,27 @@
             self._jobs.task_done()
 
     async def _ask(
-        self, identity: str, work: float, line: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None,
-    ) -> tuple[str, tuple[asyncio.StreamReader, asyncio.StreamWriter] | None, bool]:
+        self, identity: str, work: float, line: IOStream | None,
+    ) -> tuple[str, IOStream | None, bool]:
+        """Ask once; return what came, the connection if it is kept, and whether to ask again."""
         kept = line is not None
         try:
-            line = line or await asyncio.open_connection(HOST, self._port)
-        except OSError:
+            line = line or await streams.connect(HOST, self._port, LIMITS)
+        except (StreamClosedError, TimeoutError):
             return "not let in", None, False
-        reader, writer = line
         try:
-            writer.write(http.request("POST", "/post-payment", "x", {
+            await line.write(http.request("POST", "/post-payment", "x", {
                 "X-Trace-Id": identity, "X-Customer": Random(identity).choice(TENANTS),
                 "X-Expires-In": "5000m"}, f"{work:.4f}".encode()))
-            head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
-            length = next(int(row[15:]) for row in head.split("\r\n") if row.startswith("content-length:"))
-            await reader.readexactly(length)
-        except (OSError, asyncio.IncompleteReadError):
-            writer.close()
+            message = await read_response(line, LIMITS)
+        except StreamClosedError:
+            line.close()
             return "closed on", None, kept
-        status = int(head.split()[1])
-        if "connection: close" in head:
+        if not message.keep:
             self._outcome.answers["connections ended"] += 1
-            writer.close()
-            line = None
-        return {200: "served", 429: "refused", 503: "refused"}.get(status, "failed"), line, False
+            line.close()
+        kind = {200: "served", 429: "refused", 503: "refused"}.get(message.status, "failed")
+        return kind, line if message.keep else None, False
 
 
 TENANTS = ("emajoe-energia", "pohja-vesi")
--- a/hazellead/lifecycle/handover.py
+++ b/hazellead/lifecycle/handover.py
@@ -9,7 +9,7 @@
 import itertools
 import os
 import socket
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from contextlib import suppress
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -21,6 +21,7 @@
 from hazellead.lifecycle import channel
 from hazellead.lifecycle.channel import Channel
 from hazellead.lifecycle.messages import MOST_DESCRIPTORS, VERSION, Message, MessageError
+from hazellead.net.server import Detached
 
 log = structlog.get_logger()
 
@@ -44,16 +45,6 @@
 MOVED_AHEAD = 16  # messages not written yet, over which no more connections are moved
 
 
-@dataclass(slots=True)
-class Moved:
-    """A client's connection with no job on it, and what has been read on it of the next request."""
-
-    sock: socket.socket
-    read: bytes
-    proven: bool  # it has brought a request that could be taken
-    lasting: bool  # it is a worker's
-
-
 @dataclass(slots=True, frozen=True)
 class Holds:
     """What a process still has open: connections of clients and to workers, and attempts by worker's name.
@@ -88,12 +79,12 @@
     """What either process does for the other."""
 
     def take_call_back(self, identity: str, sender: str, state: str, rest: Any) -> None:
-        """Take in a call-back that reached the other process."""
+        """Take in a call-back that reached the other process; raises MessageError if it is malformed."""
 
-    def adopt(self, moved: Moved) -> None:
+    def adopt(self, given: Detached) -> None:
         """Serve a connection from now on."""
 
-    def other_holds(self, holds: "Holds") -> None:
+    def other_holds(self, holds: Holds) -> None:
         """Leave room for what the other process still has open, and heed what it has at workers."""
 
 
@@ -109,10 +100,10 @@
     def take_back(self) -> None:
         """Accept again: there is no successor after all."""
 
-    def movable(self) -> Iterable[Moved]:
+    def movable(self) -> Iterable[Detached]:
         """Give up connections with no job on them, one by one."""
 
-    def holds(self) -> "Holds":
+    def holds(self) -> Holds:
         """Return what is still open here."""
 
 
@@ -136,17 +127,21 @@
         """Say whether both processes serve, so that a call-back may be for the other."""
         raise NotImplementedError
 
+    def _send(self, kind: str, sockets: Sequence[socket.socket] = (), **body: Any) -> None:
+        if self.channel:
+            self.channel.send(kind, sockets, **body)
+
     def pass_call_back(
         self, identity: str, sender: str, state: str, rest: Any,
     ) -> "asyncio.Future[int] | None":
         """Pass a call-back on; the future gives the answer, 503 if none comes. None: nobody is there."""
-        if not self.joined or self.channel is None:
+        if not self.joined:
             return None
         number, answer = next(self._numbers), asyncio.get_running_loop().create_future()
         self._asked[number] = answer
         # Guards against one that hangs: the worker tries again, and by then the other may be gone.
         asyncio.get_running_loop().call_later(STEPS.call_back.total_seconds(), self._answer, number, 503)
-        self.channel.send("call_back", number=number, id=identity, sender=sender, state=state, rest=rest)
+        self._send("call_back", number=number, id=identity, sender=sender, state=state, rest=rest)
         return answer
 
     def _answer(self, number: int, status: int) -> None:
@@ -159,13 +154,8 @@
         if message.kind == "call_back":
             number = message.number("number")
             identity, sender, state = (message.text(key) for key in ("id", "sender", "state"))
-            rest = message.body.get("rest")
-            if state == "done" and not isinstance(rest, str) or (
-                    state == "running" and (isinstance(rest, bool) or not isinstance(rest, int | float))):
-                raise MessageError("malformed call-back")
-            self.neighbour.take_call_back(identity, sender, state, rest)
-            if self.channel:
-                self.channel.send("answered", number=number, status=200)
+            self.neighbour.take_call_back(identity, sender, state, message.body.get("rest"))
+            self._send("answered", number=number, status=200)
         elif message.kind == "answered":
             self._answer(message.number("number"), message.number("status"))
         elif message.kind == "left":
@@ -179,7 +169,7 @@
             if not len(read) == len(flags) == len(sockets):
                 raise MessageError("connections do not match their descriptors")
             for sock, data, flag in zip(sockets, read, flags, strict=True):
-                self.neighbour.adopt(Moved(sock, data, "p" in flag, "l" in flag))
+                self.neighbour.adopt(Detached(sock, data, "p" in flag, "l" in flag))
         else:
             return False
         return True
@@ -209,11 +199,6 @@
         self._step, self._clock = _Step.ALONE, 0  # the second counts steps: earlier ones' limits are void
         self._final = False
 
-    @property
-    def succeeded(self) -> bool:
-        """Say whether a successor serves."""
-        return self._step is _Step.SUCCEEDED
-
     @property
     def joined(self) -> bool:
         """Say whether a successor serves: one that is still built can take nothing but the next step."""
@@ -239,7 +224,7 @@
         """Wait for a moment until all that was passed on is on its way: it is lost with this process else."""
         loop = asyncio.get_running_loop()
         until = loop.time() + STEPS.written.total_seconds()
-        while self.channel and self.channel.open and self.channel.waiting and loop.time() < until:
+        while self.channel and self.channel.waiting and loop.time() < until:
             await asyncio.sleep(STEPS.move.total_seconds())
 
     def end(self) -> None:
@@ -279,7 +264,7 @@
         elif step is _Step.OFFERED and message.kind == "ready":
             self._step = _Step.COMMITTED
             self._limit(STEPS.commit)
-            self._send("commit", self._estate.leave())
+            self._send("commit", **self._estate.leave())
         elif step is _Step.COMMITTED and message.kind == "started":
             self._step = _Step.SUCCEEDED
             self.stop()
@@ -292,21 +277,16 @@
 
     def _hello(self, message: Message) -> None:
         if message.number("version") != VERSION or message.text("listen") != self._listen:
-            self._send("no", {"why": "another version or address", "again": False})
+            self._send("no", why="another version or address", again=False)
             return
         offer = self._estate.offer()
         if isinstance(offer, str):
-            self._send("no", {"why": offer, "again": True})
+            self._send("no", why=offer, again=True)
             return
         sockets, body = offer
         self._step = _Step.OFFERED
         self._limit(STEPS.build)
-        assert self.channel
-        self.channel.send("offer", sockets, version=VERSION, **body)
-
-    def _send(self, kind: str, body: dict[str, Any]) -> None:
-        if self.channel:
-            self.channel.send(kind, **body)
+        self._send("offer", sockets, version=VERSION, **body)
 
     def _tick(self) -> None:
         if self._step is _Step.SUCCEEDED and self.channel:
@@ -315,7 +295,7 @@
 
     def _move(self, channel: Channel) -> None:
         """Pass on what can be at this moment."""
-        self._send("left", self._estate.holds().body())
+        self._send("left", **self._estate.holds().body())
         while channel.open and channel.waiting < MOVED_AHEAD:
             some = list(itertools.islice(self._estate.movable(), MOST_DESCRIPTORS))
             if not some:
@@ -376,7 +356,7 @@
             except OSError:
                 return False  # none there, a file that nobody listens at, or no such sockets here
             self.channel = Channel(sock, self._take, self._over)
-            self.channel.send("hello", version=VERSION, listen=listen)
+            self._send("hello", version=VERSION, listen=listen)
             try:
                 answer = await self._next(STEPS.offer, "an offer")
             except BrokenOffError:  # it ends, or has another at its door
@@ -391,9 +371,7 @@
 
     async def commit(self) -> Message:
         """Have the other accept no more; return what it commits. Raises HandoverError."""
-        if not self.channel or not self.channel.open:
-            raise HandoverError("the serving process has ended the hand-over")
-        self.channel.send("ready")
+        self._send("ready")
         answer = await self._next(STEPS.commit, "its commitment")
         if answer.kind != "commit":
             raise HandoverError(f"the serving process said {answer.kind}")
@@ -402,8 +380,7 @@
 
     def started(self) -> None:
         """Say that this process serves."""
-        if self.channel:
-            self.channel.send("started")
+        self._send("started")
 
     def drop(self) -> None:
         """End the channel and let go of what came."""
@@ -448,9 +425,9 @@
     def take_call_back(self, identity: str, sender: str, state: str, rest: Any) -> None:
         """Pass over."""
 
-    def adopt(self, moved: Moved) -> None:
+    def adopt(self, given: Detached) -> None:
         """Close."""
-        moved.sock.close()
+        given.sock.close()
 
     def other_holds(self, holds: Holds) -> None:
         """Pass over."""
--- a/hazellead/lifecycle/machine.py
+++ b/hazellead/lifecycle/machine.py
@@ -1,9 +1,10 @@
 """The one owner of what ``/up`` and health say and of whether jobs are taken. No I/O, no clock."""
 
-from dataclasses import dataclass
-from datetime import datetime, timedelta
+from datetime import datetime
 from enum import Enum
 
+from hazellead.limits import Limits
+
 
 class Phase(Enum):
     """Where a process stands in its life."""
@@ -15,21 +16,12 @@
     ENDING = "ending"
 
 
-@dataclass(slots=True, frozen=True)
-class Pace:
-    """How long each step of emptying a scheduler takes."""
-
-    settle: timedelta  # after a quiesce, before idle connections are ended: the front still sends some here
-    take: timedelta  # after a quiesce, how long jobs are taken
-    serve_on: timedelta  # after the end was called, how long jobs are taken
-
-
 class LifeCycle:
     """A machine over ``Phase``. Each call says whether it changed anything; to repeat one is harmless."""
 
-    def __init__(self, pace: Pace, now: datetime) -> None:
+    def __init__(self, limits: Limits, now: datetime) -> None:
         """Begin as starting."""
-        self._pace, self.phase, self._since = pace, Phase.STARTING, now
+        self._limits, self.phase, self._since = limits, Phase.STARTING, now
         self._until: datetime | None = None  # jobs are taken until then; None: for ever
         self.succeeded = False  # another process serves at this address
 
@@ -37,9 +29,9 @@
         self.phase, self._since, self._until = phase, now, until
         return True
 
-    def repace(self, pace: Pace) -> None:
+    def repace(self, limits: Limits) -> None:
         """Go by other times from the next step on."""
-        self._pace = pace
+        self._limits = limits
 
     def start(self, now: datetime) -> bool:
         """Become ready."""
@@ -47,7 +39,7 @@
 
     def quiesce(self, now: datetime) -> bool:
         """Begin to empty the scheduler."""
-        return self.phase is Phase.READY and self._enter(Phase.QUIESCED, now, now + self._pace.take)
+        return self.phase is Phase.READY and self._enter(Phase.QUIESCED, now, now + self._limits.drain_take)
 
     def resume(self, now: datetime) -> bool:
         """Go back to work."""
@@ -71,7 +63,7 @@
         """Begin to end: jobs are taken on for a while, unless a quiesce has said otherwise."""
         if self.phase is Phase.ENDING:
             return False
-        until = now + self._pace.serve_on
+        until = now + self._limits.serve_on
         return self._enter(Phase.ENDING, now, min(until, self._until or until))
 
     @property
@@ -84,11 +76,6 @@
         """Say whether this process serves clients; one that is being emptied or replaced still does."""
         return self.phase in (Phase.READY, Phase.QUIESCED, Phase.HANDED_OVER)
 
-    @property
-    def ends(self) -> bool:
-        """Say whether the process is on its way out."""
-        return self.phase is Phase.ENDING
-
     def takes_jobs(self, now: datetime) -> bool:
         """Say whether a job that comes now is taken; else it is refused, and may be tried elsewhere."""
         return self._until is None or now < self._until
@@ -108,5 +95,5 @@
     def ends_idle(self, now: datetime) -> bool:
         """Say whether connections that carry nothing are to be ended."""
         if self.phase is Phase.QUIESCED:
-            return now >= self._since + self._pace.settle
+            return now >= self._since + self._limits.drain_settle
         return self.phase is Phase.ENDING and not self.succeeded and not self.takes_jobs(now)
--- a/hazellead/net/server.py
+++ b/hazellead/net/server.py
@@ -4,6 +4,7 @@
 import socket
 from collections.abc import Callable
 from contextlib import suppress
+from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
 from typing import Any
@@ -159,7 +160,7 @@
             self.closing = True
         self.since = self._server.clock.now()
 
-    def detach(self) -> tuple[socket.socket, bytes] | None:
+    def detach(self) -> "Detached | None":
         """Give the connection up, open, with what has been read of the next request; None if that cannot be.
 
         A request whose head has been taken apart stays until it is answered.
@@ -175,13 +176,13 @@
         read = self._parser.unread
         self._ended = True
         self._stream.close()  # only our descriptor of it
-        return sock, read
+        return Detached(sock, read, self.proven, self.lasting)
 
-    def receive(self, read: bytes, *, proven: bool, lasting: bool) -> None:
+    def resume(self, given: "Detached") -> None:
         """Go on where another process left off."""
-        self.proven, self.lasting = proven, lasting
-        self._parser.feed(read)
-        if proven and not read:
+        self.proven, self.lasting = given.proven, given.lasting
+        self._parser.feed(given.read)
+        if given.proven and not given.read:
             self.turn(State.RESTING)
 
     def turn(self, state: "State") -> None:
@@ -238,14 +239,14 @@
                 self._stream.write(response(status, f"{why}\n".encode(), keep=False, headers=headers))
 
 
-def pause(server: TCPServer) -> list[socket.socket]:
-    """Accept no more and return the listening sockets, open; ``add_sockets`` goes on with them."""
-    sockets = list(server._sockets.values())
-    for remove in server._handlers.values():
-        remove()
-    server._sockets.clear()
-    server._handlers.clear()
-    return sockets
+@dataclass(slots=True, frozen=True)
+class Detached:
+    """A connection with no request in hand, on its way to another process."""
+
+    sock: socket.socket
+    read: bytes  # what has come of the next request
+    proven: bool
+    lasting: bool
 
 
 class HttpServer(TCPServer):
@@ -283,11 +284,20 @@
         """Say whether as many connections are open as may be, here and in the process before or after."""
         return len(self.connections) + self.elsewhere >= self.limits.client_connections
 
-    def adopt(self, sock: socket.socket, read: bytes, *, proven: bool, lasting: bool) -> None:
+    def pause(self) -> list[socket.socket]:
+        """Accept no more and return the listening sockets, open; ``add_sockets`` goes on with them."""
+        sockets = list(self._sockets.values())
+        for remove in self._handlers.values():
+            remove()
+        self._sockets.clear()
+        self._handlers.clear()
+        return sockets
+
+    def adopt(self, given: Detached) -> None:
         """Serve a connection that another process has detached."""
-        connection = Connection(self, IOStream(sock, max_buffer_size=self.max_buffer_size))
+        connection = Connection(self, IOStream(given.sock, max_buffer_size=self.max_buffer_size))
         self.connections.add(connection)  # before its state is told: else it could never make room
-        connection.receive(read, proven=proven, lasting=lasting)
+        connection.resume(given)
         running = asyncio.ensure_future(self._run(connection))
         self._adopted.add(running)
         running.add_done_callback(self._adopted.discard)
--- a/hazellead/platform/clients.py
+++ b/hazellead/platform/clients.py
@@ -14,6 +14,7 @@
 from hazellead.core.scheduler import Scheduler
 from hazellead.net.server import Exchange
 from hazellead.platform.config import Names, parse_span, place
+from hazellead.platform.workers import fault
 
 log = structlog.get_logger()
 
@@ -153,11 +154,9 @@
         identity, sender, state = event.get("id"), event.get("from"), event.get("state")
         if not (isinstance(identity, str) and isinstance(sender, str) and isinstance(state, str)):
             raise BadRequestError(400, "id, from and state are strings")
-        share, result = event.get("share", 0), event.get("result")
-        if state == "running" and (isinstance(share, bool) or not isinstance(share, int | float)):
-            raise BadRequestError(400, "share is a number")
-        if state == "done" and not isinstance(result, str):
-            raise BadRequestError(400, "result is a string")
-        return self._report(identity, sender, state, share if state == "running" else result)
+        rest = event.get("share", 0) if state == "running" else event.get("result")
+        if wrong := fault(state, rest):
+            raise BadRequestError(400, wrong)
+        return self._report(identity, sender, state, rest)
 
 
--- a/hazellead/platform/config.py
+++ b/hazellead/platform/config.py
@@ -79,6 +79,7 @@
     limits: Limits
     console: tuple[str, int] | None = None
     shape: frozenset[str] = frozenset()  # the keys that the file had
+    handover: str | None = None  # where a process that is to replace this one asks for it, if that is offered
 
 
 def fixed(given: Config, new: Config) -> list[str]:
@@ -117,12 +118,6 @@
     return f"{address[0]}:{address[1]}"
 
 
-def handover_path(given: Config, environment: Mapping[str, str]) -> str | None:
-    """Return where a process that is to replace this one asks for it; None where that is not offered."""
-    folder = environment.get("TMPDIR")
-    return f"{folder}/hazellead-{given.listen[1]}.sock" if given.console and folder else None
-
-
 def read_settings(nested: Any) -> tuple[Settings, Names, dict[str, str]]:
     """Read nested settings."""
     if not isinstance(nested, dict):
@@ -182,7 +177,10 @@
         raise ConfigError(f"{path}: not JSON: {error}") from None
     if not isinstance(given, dict):
         raise ConfigError(f"{path}: not an object")
-    return assemble(given, path, environment)
+    read, folder = assemble(given, path, environment), environment.get("TMPDIR")
+    if read.console and folder:
+        read = replace(read, handover=f"{folder}/hazellead-{read.listen[1]}.sock")
+    return read
 
 
 def assemble(
--- a/hazellead/platform/estate.py
+++ b/hazellead/platform/estate.py
@@ -12,13 +12,13 @@
 from hazellead.core.clock import Clock
 from hazellead.core.scheduler import Scheduler
 from hazellead.lifecycle import state
-from hazellead.lifecycle.handover import Bequest, HandoverError, Holds, Inheritance, Moved
+from hazellead.lifecycle.handover import Bequest, HandoverError, Holds, Inheritance
 from hazellead.lifecycle.machine import LifeCycle, Phase
 from hazellead.lifecycle.messages import MessageError
-from hazellead.net.server import HttpServer, pause
-from hazellead.platform.config import Config, Names, written
+from hazellead.net.server import Detached, HttpServer
+from hazellead.platform.config import Config, written
 from hazellead.platform.discovery import Watch
-from hazellead.platform.workers import HttpWorkers
+from hazellead.platform.workers import HttpWorkers, fault
 
 log = structlog.get_logger()
 
@@ -28,16 +28,16 @@
 
     def __init__(
         self, life: LifeCycle, clock: Clock, scheduler: Scheduler, server: HttpServer, workers: HttpWorkers,
-        watch: Watch, names: Callable[[], Names], path: str, listen: Callable[[], list[socket.socket]],
-        heir: Inheritance | None,
+        watch: Watch, given: Config, listen: Callable[[], list[socket.socket]], heir: Inheritance | None,
     ) -> None:
         """Act on these. With an ``heir`` another process serves at the address; else listen now."""
+        assert given.handover
         self._life, self._clock, self._scheduler, self._server = life, clock, scheduler, server
-        self._workers, self._watch, self._names = workers, watch, names
-        self._told = set[str]()  # ids that the process after this one knows
+        self._workers, self._watch = workers, watch
+        self._told: frozenset[str] = frozenset()  # ids that the process after this one knows
         self._kept: list[socket.socket] = []  # the listening sockets, while another process accepts on them
-        self._path, self._listen, self._heir = path, listen, heir
-        self._bequest: Bequest | None = None
+        self._listen, self._heir = listen, heir
+        self._bequest = Bequest(given.handover, written(given.listen), self)
         self._sockets: list[socket.socket] = []  # those that this process listens at
         if heir:
             heir.neighbour = self
@@ -49,10 +49,8 @@
 
     def _inherit(self, body: dict[str, Any]) -> None:
         """Take over what the other process knew; what cannot be read is done without."""
-        names = self._names()
         try:
-            self._scheduler.learn(
-                state.read(body.get("known"), self._watch.number, names.classes, names.tenants))
+            self._scheduler.learn(state.read(body.get("known"), self._watch.number, *self._names()))
         except MessageError as error:
             log.warning("handover_incomplete", reason=str(error))
 
@@ -74,35 +72,33 @@
         self._heir.started()
         log.info("took_over")
 
+    def _names(self) -> tuple[list[str], list[str]]:
+        """Return classes' and tenants' names by number; a class that went has none."""
+        now = self._scheduler.generation
+        classes = [name if n in now.classes else "" for n, (name, _) in enumerate(now.rows)]
+        return classes, [name for name, _ in now.tenant_rows]
+
     # As the one that is replaced.
 
     def bequeath(self) -> None:
         """Let another process replace this one from now on."""
-        self._bequest = Bequest(self._path, "{}:{}".format(*self._sockets[0].getsockname()[:2]), self)
         self._bequest.begin()
 
     def offer(self) -> tuple[list[socket.socket], dict[str, Any]] | str:
         """Return copies of the listening sockets and what is known, or why not now."""
         if self._life.phase not in (Phase.READY, Phase.QUIESCED):
             return f"it is {self._life.phase.value}"
-        names = self._names()
-        now = self._scheduler.generation
-        by_number = {n: names.classes[i] for i, n in enumerate(now.classes)}
-        known = state.write(
-            self._scheduler.known(), self._watch.name,
-            [by_number.get(n, "") for n in range(len(now.rows))], [name for name, _ in now.tenant_rows])
-        told = self._watch.told(self._scheduler.workers)
-        discovery = "{}:{}".format(*self._watch.address)
-        return [s.dup() for s in self._sockets], {"known": known, "told": told, "discovery": discovery}
+        return [s.dup() for s in self._sockets], {
+            "known": state.write(self._scheduler.known(), self._watch.name, *self._names()),
+            "told": self._watch.told(self._scheduler.workers), "discovery": written(self._watch.address)}
 
     def leave(self) -> dict[str, Any]:
         """Accept no more; tell the ids."""
         self._life.hand_over(self._clock.now())
-        self._kept = pause(self._server)
+        self._kept = self._server.pause()
         self._workers.pool.release_all()
-        open_, ended = self._scheduler.identities()
-        self._told = set(open_)
-        return {"open": open_, "ended": ended}
+        self._told = self._scheduler.open_identities
+        return {"open": list(self._told), "ended": self._scheduler.ended_identities}
 
     def take_back(self) -> None:
         """Accept again."""
@@ -110,25 +106,23 @@
         self._server.add_sockets(self._kept)
         self._kept = []
 
-    def movable(self) -> Iterator[Moved]:
+    def movable(self) -> Iterator[Detached]:
         """Give up clients' connections with no job on them."""
-        for c in list(self._server.connections):
-            if detached := c.detach():
-                yield Moved(*detached, proven=c.proven, lasting=c.lasting)
+        for connection in list(self._server.connections):
+            if detached := connection.detach():
+                yield detached
 
     def holds(self) -> Holds:
         """Return what is still open here."""
         attempts = {self._watch.name(worker): out for worker, out in self._scheduler.out().items()}
-        open_, _ = self._scheduler.identities()
-        taken = [identity for identity in open_ if identity not in self._told]
-        self._told.update(taken)
-        return Holds(len(self._server.connections), self._workers.pool.count(), attempts, taken)
+        known, self._told = self._told, self._scheduler.open_identities
+        return Holds(len(self._server.connections), self._workers.pool.count(), attempts,
+                     list(self._told - known))
 
     async def end(self) -> None:
         """Serve no successor any more."""
-        if self._bequest:
-            await self._bequest.written()
-            self._bequest.end()
+        await self._bequest.written()
+        self._bequest.end()
         for sock in self._kept:
             sock.close()
         self._kept = []
@@ -145,16 +139,18 @@
         return None
 
     def take_call_back(self, identity: str, sender: str, state: str, rest: Any) -> None:
-        """Take in a call-back that reached the other process."""
+        """Take in a call-back that reached the other process; raises MessageError."""
+        if wrong := fault(state, rest):
+            raise MessageError(wrong)
         self._workers.call_back(identity, sender, state, rest)
 
-    def adopt(self, moved: Moved) -> None:
+    def adopt(self, given: Detached) -> None:
         """Serve a connection from now on."""
         try:
-            self._server.adopt(moved.sock, moved.read, proven=moved.proven, lasting=moved.lasting)
+            self._server.adopt(given)
         except OSError:  # it has broken on the way
             with suppress(OSError):
-                moved.sock.close()
+                given.sock.close()
 
     def other_holds(self, holds: Holds) -> None:
         """Leave room for what the other process still has open: the bounds hold for both together."""
--- a/hazellead/platform/workers.py
+++ b/hazellead/platform/workers.py
@@ -22,6 +22,15 @@
 _STATES = {"failed": Outcome.ERROR, "returned": Outcome.FULL, "lost": Outcome.RESET}
 
 
+def fault(state: str, rest: Any) -> str | None:
+    """Say what is wrong with what a call-back says beside its state; None: nothing."""
+    if state == "running" and (isinstance(rest, bool) or not isinstance(rest, int | float)):
+        return "share is a number"
+    if state == "done" and not isinstance(rest, str):
+        return "result is a string"
+    return None
+
+
 @dataclass(slots=True, frozen=True)
 class Place:
     """Where a worker listens, and the name by which it signs its call-backs."""
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -10,10 +10,12 @@
 from loopback import STEADY, HttpWorker, free_port, http_message, http_post, run, until
 from test_program import HEADERS, get, program
 
-from hazellead.lifecycle.machine import LifeCycle, Pace, Phase
+from hazellead.lifecycle.machine import LifeCycle, Phase
+from hazellead.limits import Limits
 from hazellead.net import http
 
 SETTLE, TAKE, SERVE = (timedelta(milliseconds=ms) for ms in (500, 1800, 2500))
+LIMITS = Limits(drain_settle=SETTLE, drain_take=TAKE, serve_on=SERVE)
 
 
 class Life(RuleBasedStateMachine):
@@ -22,7 +24,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.now = datetime(2026, 1, 1, tzinfo=UTC)
-        self.life = LifeCycle(Pace(SETTLE, TAKE, SERVE), self.now)
+        self.life = LifeCycle(LIMITS, self.now)
         self.emptied: datetime | None = None  # when it was last told to empty itself, if that holds
         self.over: datetime | None = None  # when its end was called
         self.left = False
@@ -54,7 +56,7 @@
     @rule()
     def hang_up(self) -> None:
         was = self.life.phase, self.life.up, self.life.takes_jobs(self.now)
-        self.life.repace(Pace(SETTLE, TAKE, SERVE))  # what SIGHUP may bring
+        self.life.repace(LIMITS)  # what SIGHUP may bring
         assert was == (self.life.phase, self.life.up, self.life.takes_jobs(self.now))
 
     @rule()
@@ -72,7 +74,7 @@
     def end(self) -> None:
         assert self.life.end(self.now) == (self.over is None)
         self.over = self.over or self.now
-        assert self.life.ends
+        assert self.life.phase is Phase.ENDING
 
     @invariant()
     def a_yes_is_only_said_while_jobs_are_taken_here_or_by_another(self) -> None:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -302,10 +302,10 @@
             assert (await http_message(reader))[2] == b"ok"
         pairs[1][1].write(b"GET /a HT")  # the next request has begun
         await until(lambda: sum(not c.idle for c in old.connections) == 1)
-        given = [(c.detach(), c.proven) for c in sorted(old.connections, key=lambda c: c.idle)]
-        for detached, proven in given:
-            assert detached and proven
-            new.adopt(*detached, proven=proven, lasting=False)
+        given = [c.detach() for c in sorted(old.connections, key=lambda c: c.idle)]
+        for detached in given:
+            assert detached and detached.proven and not detached.lasting
+            new.adopt(detached)
         await until(lambda: not old.connections)
         new.listen(other := free_port(), "127.0.0.1")
         got = await raw(other, request("GET", "/a", "b", {"Connection": "close"}))
