Judge workers by their kind's run times, and give cold ones what they can do at least

Cold workers' run times were 3.0 times the usual at first, 2.1 after 2 s, 1.6 after 6 s and 1.0 after 10 s, so they do two to three times what the rule's figures promise. In calm seconds slow-2c workers were as busy as the others (0.65) and 52 % of the jobs there late: a scheduler of 40 sees a worker once in 4 s, and its pace was an average of five run times of unlike jobs, taken to the third power.

Cause: _cold_room kept to 0.6 of what a cold worker does at least and counted its slowness twice (a pace learned from its cold run times); all drew their parts of the same windows. _learn took a worker's own few run times where no hint comes. Now a kind's run times stand in, a worker's own add up slowly, cold ones are left out; cold workers get 1.2 times what they do at least (rule: 4), in windows that begin apart.

--- a/hazellead/decide/choice.py
+++ b/hazellead/decide/choice.py
@@ -14,7 +14,7 @@
 from typing import TYPE_CHECKING, Any
 
 from hazellead.decide import interface as api
-from hazellead.decide.records import Attempt, Learned, Mean, Request, Worker
+from hazellead.decide.records import Attempt, Mean, Request, Worker
 
 if TYPE_CHECKING:
     from hazellead.decide import known as seen
@@ -28,11 +28,13 @@
 FLOOR = 0.5  # the rate never falls below this part of the starting rate
 HEADROOM = 1.25  # our part of the quotas, over what the median tenant asks for its share
 MEMORY = 40.0  # mean run times over which a tenant's demand is averaged
+KIN = 12  # run times that a worker's kind counts for beside its own, where no hint comes with jobs
 LEARN = 0.1  # weight of the newest observation in running averages
 PATIENCE = 4.0  # mean run times of unanswered work after which a worker is silent, or an attempt overdue
 TRUST = 0.25  # doubt from which a worker gets trial jobs only; a served job halves it, a failure then adds 1
 SLIP = 0.15  # doubt that a first broken connection adds; it stays under TRUST
 COLD_SAFETY = 0.6  # part of a cold worker's budget that is used
+COLD_USE = 1.2  # where nothing is reported: of what it can do at least, most do more
 CHANCE = 1.5  # standard deviations kept free in it, since dispatchers draw their parts apart
 COPY_SHARE = 0.1  # second copies allowed for each first push
 PROBE_SPEND = 0.01  # points a request that may be spent on probes
@@ -203,10 +205,7 @@
         return set(self.workers) - {w.entry.worker for w in self.near + self.far if self._doubt(w) < TRUST}
 
     def learn(self, known: "seen.Known") -> None:
-        """Take over what others have seen: as a start that our own evidence outweighs, and caution at once.
-
-        Nothing of it opens a worker or warms a cold one; of a worker it counts for the same start only.
-        """
+        """Take over what others have seen, as a start, and caution at once; none opens or warms a worker."""
         fresh = not any(m.count for m in self.ran)
         for k in known.workers:
             w = self.workers.get(k.worker)
@@ -265,10 +264,7 @@
             self.bound_at = self.now
 
     def _defer(self, r: Request) -> None:
-        """Let a held job that has run out of slack wait for what jobs in time leave free, or refuse it.
-
-        Few may: where the fleet has too little for all, each late one served costs one that was in time.
-        """
+        """Let a held job out of slack wait for what jobs in time leave, as few may, or refuse it."""
         if r.last <= self.now or self.lates < 1:
             self._answer(r)
         elif self._unqueue(r):
@@ -298,10 +294,7 @@
             tenant.throttle.add()
 
     def _size(self) -> None:
-        """Take our part of the quotas from our own traffic, and size banks and buffers for the rate.
-
-        The median tenant's demand for its share is our part, whoever floods; an even one starves the busy.
-        """
+        """Size banks and buffers for our part of the quotas: the median tenant's demand for its share."""
         self.mean_run = sum(self.run_us) / len(self.run_us)
         passed, self.sized_at = self.now - self.sized_at, self.now
         fade = math.exp(-passed / (MEMORY * self.mean_run))
@@ -414,13 +407,12 @@
             known = max(0.0, 1 - (self.now - w.changed) / (STALE * w.period))
             free -= known * max(0.0, w.others) + (1 - known) * (1 - self.spare) * w.slots
             free = max(free, (1 - known) * 0.5)
-        if not self.settings.tells_start:
-            return free
         # Starts outweigh reports: a job not begun shows that no slot was free for it.
-        return (max(free, 0.5) if blind else free) - len(w.unstarted)
+        return (max(free, 0.5) if blind else free) - len(w.unstarted) if self.settings.tells_start else free
 
     def _pace(self, w: Worker) -> float:
-        return self.kinds[w.entry.kind].value if w.entry.kind in self.kinds and not w.timed else w.pace
+        kind = self.kinds.get(w.entry.kind) if not w.speed.weight else None
+        return w.pace + w.speed.rest * (kind.value - w.speed.given) if kind else w.pace
 
     def _quick(self, w: Worker) -> float:
         """Weigh a worker by how soon jobs began there: the one sign of others' jobs where none reports."""
@@ -440,18 +432,16 @@
     def _usable(self, w: Worker, limit: float) -> bool:
         """Trust a worker, or let it have a trial job: one at a time, ever more rarely while they fail.
 
-        Where being called gone doesn't bind, such a worker goes on by what its answers earn; once they
-        agree with the list it gets no more than one trial.
+        One called gone, where that binds not, goes on by its answers; once they agree, with one trial.
         """
         gone = w.entry.phase is api.Phase.GONE
         trial = w.held == 0 and self.now >= w.next_trial and not (gone and w.failures > 1)
         return trial or self._doubt(w) < (TRUST if gone else limit)
 
     def _meet(self, w: Worker, r: Request) -> bool:
-        """Find out by a probe, else by trial jobs, whether a worker that the list has added is one of ours.
+        """Find out by a probe, else by trial jobs one at a time in all, whether one newly listed is ours.
 
-        Guards against listed strangers, whatever they answer. A grown fleet passes by one probe each; trial
-        jobs go one at a time in all while they fail. It may hurt where ours answer few probes.
+        Guards against listed strangers, whatever they answer. It may hurt where ours answer few probes.
         """
         if self.settings.may_probe:
             if self.probes >= 1 and self.now >= w.next_trial:
@@ -464,22 +454,21 @@
         return not risky and w.held == 0 and self.now >= max(self.meet_at, w.next_trial)
 
     def _cold_room(self, w: Worker) -> bool:
-        """Keep to our part, by traffic, of what a cold worker bears in a window (rule 4).
-
-        Below one push it is the chance of one, drawn for each window: "at least one" for all is too much.
-        """
+        """Keep to our part, by traffic, of what a cold worker bears in a window (rule 4)."""
         s = self.settings
         if not 0 < w.cold_since > self.now - s.warm_up_us:
             return True
-        if self.now >= w.drawn_until:
+        if not w.drawn_until:  # all are told at once: their windows begin apart, or their parts come together
+            w.tickets, w.drawn_until = 0, self.now + int(s.fall_us * self.rng.random())
+        elif self.now >= w.drawn_until:
             warm = s.cold_from + (1 - s.cold_from) * max(0, self.now - w.cold_since) / s.warm_up_us
-            run, slots = self.mean_run * max(w.pace, 1.0), w.slots
+            run, slots = self.mean_run * max(self._pace(w), 1.0), w.slots
             if not s.reports and self.near:  # what a worker carries when all use their quotas is a guide
                 slots = max(slots, self.even * s.dispatchers * self.mean_run / 1e6 / len(self.near))
             budget = COLD_SAFETY * s.fall_multiple * warm * s.fall_us * slots / run
             budget -= CHANCE * math.sqrt(min(budget, (s.dispatchers - 1) / 4))
             if not s.reports:  # a part drawn is used at once, so no more than keeps it as busy as others
-                budget = min(budget, COLD_SAFETY * warm * s.fall_us * slots / run)
+                budget = min(budget, COLD_USE * warm * s.fall_us * slots / run)
             w.tickets = int(max(0.0, budget) * self.part / s.dispatchers + self.rng.random())
             w.drawn_until = self.now + s.fall_us
         return w.tickets > 0
@@ -617,15 +606,18 @@
         if not w.known:
             w.known, self.strangers, self.meet_at = True, self.strangers // 2, self.now
         w.blame, w.silence, w.failures, w.fulls, w.vouched = w.blame / 2, 0.0, 0, 0, self.now
-        if r.hint:  # held against the hint, a run time tells more of the worker, and of its whole kind
+        # Held against a hint, a run time tells of the worker; without one, more of the job: there a worker's
+        # whole kind tells sooner, and its own add up slowly. A cold one's tell of the cold alone.
+        if r.hint:
             self.by_hint.add(ratio := spent_us / r.hint, LEARN / 5)
-            ratio = min(ratio / self.by_hint.value, 4.0)
-            kind = self.kinds.setdefault(w.entry.kind, Mean(1.0))
-            w.speed, w.timed = w.speed if w.timed else Learned(kind.value), w.timed + 1
-            w.speed.add(ratio, max(1 / (w.timed + 4), LEARN), self.now, LEARN / 5)
-            kind.add(ratio, LEARN / 5)
+            ratio, weight = min(ratio / self.by_hint.value, 4.0), max(1 / (w.timed + 4), LEARN)
         else:
-            w.speed.add(min(spent_us / run, 10.0), 2 * LEARN, self.now, LEARN / 5)
+            ratio, weight = min(spent_us / run, 10.0), max(1 / (w.timed + KIN), LEARN / 2)
+            weight = 2 * LEARN if self.settings.reports else weight
+        if r.hint or self.settings.reports or not 0 < w.cold_since > self.now - self.settings.warm_up_us:
+            w.timed += 1
+            w.speed.add(ratio, weight, self.now, LEARN / 5)
+            self.kinds.setdefault(w.entry.kind, Mean(1.0)).add(ratio, LEARN / 5 if r.hint else LEARN / 20)
         self.runs[r.job_class] += 1
         self.run_us[r.job_class] += max(1 / self.runs[r.job_class], LEARN / 5) * (max(1, spent_us) - run)
         self.ran[r.job_class].add(max(1, spent_us), LEARN / 5)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -749,9 +749,9 @@
     referee.end(1, 0, api.Outcome.SERVED)
     for number in range(2, 40):
         referee.play(api.Arrival(number, 2, 5_000_000), after_us=50_000)
-        for r, n in referee.open_attempts():
-            good = referee.books[r].sent[n].worker == push.worker
-            referee.end(r, n, api.Outcome.SERVED if good else api.Outcome.CONNECT_FAILED)
+        while out := referee.open_attempts():
+            good = referee.books[out[0][0]].sent[out[0][1]].worker == push.worker
+            referee.end(*out[0], api.Outcome.SERVED if good else api.Outcome.CONNECT_FAILED)
     last = [a.worker for a in pushes(referee.log)][-20:]
     assert last.count(push.worker) >= 18
 
@@ -815,6 +815,33 @@
     assert paces[1] > 1.5 * paces[0]
 
 
+def test_without_hints_a_kinds_run_times_outweigh_a_workers_own_few() -> None:
+    """A scheduler of forty met a worker every few seconds: its own run times, of jobs unlike, were noise."""
+    referee = Referee(SILENT)
+    referee.play(api.WorkerList(
+        api.ListKind.FULL, tuple(replace(entry(w), kind=w % 2) for w in range(1, 41))))
+    for number in range(400):
+        referee.play(api.Arrival(number, 2, 5_000_000), after_us=1_000)
+        for r, n in referee.open_attempts():
+            worker = referee.books[r].sent[n].worker
+            referee.play(api.JobBegan(r, n, worker))
+            referee.play(after_us=(50_000 + 50_000 * (worker % 2)) * (1 if number % 10 else 8))
+            referee.end(r, n, api.Outcome.SERVED)
+    paces = [[referee.dispatcher._pace(w) for w in referee.dispatcher.workers.values() if w.entry.kind == k]
+             for k in (0, 1)]
+    assert max(paces[0]) < min(paces[1])
+
+
+def test_dispatchers_told_of_a_cold_worker_at_once_do_not_all_push_at_once() -> None:
+    """Forty drew their parts of the same windows: all were used in the first moments of each."""
+    count = 40
+    base = replace(SILENT, dispatchers=count, tenants=(api.Tenant(1.0, 600),), cold_from=0.3,
+                   warm_up_us=8_000_000, fall_multiple=3, fall_us=1_000_000)
+    start, times = crowd(base, tuple(entry(w) for w in range(2, 31)), 80, 50_000, None)
+    early = sum(1 for t in times if (t - start) % base.fall_us < base.fall_us / 5)
+    assert len(times) > 20 and early < 0.4 * len(times)
+
+
 def erring(errs: Callable[[int, int], bool]) -> tuple[Referee, int]:
     """Serve jobs of three tenants, but those that ``errs`` names by tenant and worker; count these."""
     referee, count = Referee(replace(BASE, tenants=tuple(api.Tenant(1 / 3, 70) for _ in range(3)))), 0
