Take waits apart from the way to a worker; keep connections for 10 s and prefer open ones across zones

Each scheduler of 40 meets a worker every 4 s, and connections were closed after 5.

Cause: limits.fit kept connections for a third of the 15 s that workers do, and _began averaged the handshake into a worker's wait, so the next job over its open connection was judged by it (_quick). Now the least wait by crossing and by new connection is held apart, the rest is the worker's; connections stay for two thirds of the workers' time.

--- a/hazellead/decide/choice.py
+++ b/hazellead/decide/choice.py
@@ -126,6 +126,7 @@
         self.reuse = float(settings.conn_idle_us)  # how long a connection may have idled and be trusted
         self.by_hint, self.kinds = Mean(1.0), dict[int, Mean]()  # run times over hints; a kind's over all
         self.unreached = 0.0  # part of the newest connects that failed
+        self.transit = dict[tuple[bool, bool], float]()  # the least wait, by crossing and by new connection
         self.failing = {False: LEARN, True: 0.0}  # part of the newest attempts at home, across that failed
         self.meet_at, self.strangers = 0, 0  # when the next stranger may have a trial job; those that failed
         self.lates, self.copies, self.probes, self.widest, self.watched = LATE_MOST, 0.0, 100.0, 1.0, 0.0
@@ -415,8 +416,10 @@
         return w.pace + w.speed.rest * (kind.value - w.speed.given) if kind else w.pace
 
     def _quick(self, w: Worker) -> float:
-        """Weigh a worker by how soon jobs began there: the one sign of others' jobs where none reports."""
-        return 1 / (1 + w.wait.value / self.mean_run) ** AVOID
+        """Weigh a worker by how soon jobs began there, the one sign of others' jobs, and by the way to it."""
+        kept = bool(w.idle) and w.idle[-1] > self.now - self.reuse
+        way = self.transit.get((w.entry.zone != self.settings.zone, not kept), 0.0)
+        return 1 / (1 + (w.wait.value + way) / self.mean_run) ** AVOID
 
     def _silence(self, w: Worker) -> float:  # unanswered work since a sign of serving, in mean run times
         mean = self.mean_run * min(max(w.pace, 1.0), 2.0)
@@ -521,14 +524,16 @@
             self.out.append(api.Release(w.entry.worker))
 
     def _began(self, event: api.JobBegan) -> None:
-        if (key := (event.request, event.attempt)) in self.flying:
-            w, attempt = self.workers[event.worker], self.flying[key]
+        if attempt := self.flying.get(key := (event.request, event.attempt)):
+            w = self.workers[event.worker]
             self._touch(w)
             if not attempt.began:
                 attempt.began, w.silence = self.now, 0.0
-                w.wait.add(self.now - attempt.sent, 2 * LEARN, self.now, 2 * LEARN)
+                wait, way = self.now - attempt.sent, (attempt.crossed, not attempt.idle)
+                self.transit[way] = min(wait, self.transit.get(way, wait) * (1 + LEARN / 5))
+                w.wait.add(wait - self.transit[way], 2 * LEARN, self.now, 2 * LEARN)
                 w.unstarted.discard(key)
-                if (wait := self.now - attempt.sent) > self._slack(attempt.request.job_class):
+                if wait > self._slack(attempt.request.job_class):
                     self._overload(w)  # its wait alone made it late
                     if not self.settings.reports:  # nothing else tells of the queue there: let it run down
                         w.full_until = self.now + int(RUN_DOWN * wait)
@@ -623,8 +628,7 @@
         self.ran[r.job_class].add(max(1, spent_us), LEARN / 5)
         if w.held + 1 >= w.slots and not w.told:
             w.slots += 1 / w.slots
-        if self.now - self.bound_at < 2 * run:
-            self.factor += RISE * self.spare * self.step
+        self.factor += RISE * self.spare * self.step if self.now - self.bound_at < 2 * run else 0.0
 
     def _report(self, w: Worker, report: api.Report | None) -> None:
         fresh = self.settings.reports_by_probe
--- a/hazellead/limits.py
+++ b/hazellead/limits.py
@@ -108,7 +108,7 @@
             connect=connect,
             serve_on=_serve_on(longest),
             answer_by=_answer_by(longest),
-            worker_idle=min(worker_idle / 3, timedelta(seconds=5)),
+            worker_idle=min(worker_idle * 2 / 3, timedelta(seconds=10)),
         )
 
     def paced_as(self, other: "Limits") -> "Limits":
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -832,6 +832,24 @@
     assert max(paces[0]) < min(paces[1])
 
 
+def test_a_job_goes_across_zones_by_an_open_connection_rather_than_a_new_one() -> None:
+    """A third of all jobs crossed on new connections: their handshakes alone used the whole slack up."""
+    referee = Referee(replace(SILENT, conn_idle_us=10_000_000))
+    referee.play(api.WorkerList(api.ListKind.FULL, tuple(entry(w, zone=1) for w in range(1, 17))))
+    workers, sent = referee.dispatcher.workers, [0, 0]
+    for number in range(400):
+        for w in range(2, 17, 2):  # those that close connections at once
+            workers[w].idle.clear()
+        open_ones = {w for w in workers if workers[w].idle}
+        (push,) = pushes(referee.play(api.Arrival(number, 2, 5_000_000), after_us=20_000))
+        sent[push.worker % 2] += number >= 100
+        handshake = 0 if push.worker in open_ones else 90_000
+        referee.play(api.JobBegan(number, 0, push.worker), after_us=30_000 + handshake)
+        referee.play(after_us=100_000)
+        referee.end(number, 0, api.Outcome.SERVED)
+    assert sent[1] > 8 * sent[0], sent
+
+
 def test_dispatchers_told_of_a_cold_worker_at_once_do_not_all_push_at_once() -> None:
     """Forty drew their parts of the same windows: all were used in the first moments of each."""
     count = 40
