Send few jobs to a zone without a sign of life, and trust no worker for one job served

Change: pushes to a zone since anything came from it are counted, and past the second they weigh against its workers (_quick). A served job halves a doubted worker's failures, and its next trial waits as before.

--- a/hazellead/decide/choice.py
+++ b/hazellead/decide/choice.py
@@ -1,8 +1,7 @@
 """All decisions of a hazellead dispatcher; what it is told and can do is in hazellead/decide/interface.py.
 
-A request's path: its tenant's ``Throttle`` admits, holds or refuses it (``_arrive``); tokens pay for held
-jobs (``_tokens``); paid ones leave for a worker known to have a free slot (``_place``, ``_pick``, ``_free``);
-what comes back teaches (``_learn``) and brings another attempt or the final answer (``_ended``).
+A tenant's ``Throttle`` admits, holds or refuses a request (``_arrive``); tokens pay for it (``_tokens``) and
+it leaves for a worker (``_place``, ``_pick``); what comes back teaches (``_learn``) or ends it (``_ended``).
 """
 
 import heapq
@@ -39,8 +38,8 @@
 COPY_SHARE = 0.1  # second copies allowed for each first push
 PROBE_SPEND = 0.01  # points a request that may be spent on probes
 ASK_APART = 10  # ticks, for each dispatcher, over which the first calls to the list service are spread
-LOOKING = 0.75  # part of the slack a job waits for a worker that a probe has just shown to be free
-LOOK = 3  # workers probed for a job that has no fresh report to go by
+LOOKING, LOOK = 0.75, 3  # part of the slack a job waits for a worker shown free by a probe; those probed
+UNHEARD = (2, 8)  # pushes to a zone without a sign of life that turn none away, and that are counted
 UNREACHED = 0.5  # part of the newest connects failing, from which open connections come first
 SAMPLE = 8  # workers looked at before the whole fleet is
 STALE = 4.0  # report periods without a new one after which what it said counts for nothing
@@ -126,6 +125,7 @@
         self.reuse = float(settings.conn_idle_us)  # how long a connection may have idled and be trusted
         self.by_hint, self.kinds = Mean(1.0), dict[int, Mean]()  # run times over hints; a kind's over all
         self.unreached = 0.0  # part of the newest connects that failed
+        self.unheard = dict[int, int]()  # pushes to each zone since it last gave a sign of life
         self.transit = dict[tuple[bool, bool], float]()  # the least wait, by crossing and by new connection
         self.failing = {False: LEARN, True: 0.0}  # part of the newest attempts at home, across that failed
         self.meet_at, self.strangers = 0, 0  # when the next stranger may have a trial job; those that failed
@@ -239,8 +239,6 @@
             self.factor = max(known.factor.value, FLOOR)
         self._size()
 
-    # Admission: the throttle of the design.
-
     def _arrive(self, event: api.Arrival) -> None:
         s, number = self.settings, min(event.tenant, len(self.tenants) - 1)
         tenant = self.tenants[number]
@@ -419,7 +417,8 @@
         """Weigh a worker by how soon jobs began there, the one sign of others' jobs, and by the way to it."""
         kept = bool(w.idle) and w.idle[-1] > self.now - self.reuse
         way = self.transit.get((w.entry.zone != self.settings.zone, not kept), 0.0)
-        return 1 / (1 + (w.wait.value + way) / self.mean_run) ** AVOID
+        lost = max(0, self.unheard.get(w.entry.zone, 0) - UNHEARD[0])  # its workers are often lost together
+        return 1 / (1 + (w.wait.value + way) / self.mean_run) ** AVOID / (1 + lost) ** 2
 
     def _silence(self, w: Worker) -> float:  # unanswered work since a sign of serving, in mean run times
         mean = self.mean_run * min(max(w.pace, 1.0), 2.0)
@@ -433,19 +432,13 @@
         return max([TRUST, *(d + 1e-9 for d in doubts[: max(1, len(doubts) // 4)])])
 
     def _usable(self, w: Worker, limit: float) -> bool:
-        """Trust a worker, or let it have a trial job: one at a time, ever more rarely while they fail.
-
-        One called gone, where that binds not, goes on by its answers; once they agree, with one trial.
-        """
+        """Trust a worker, or let it have trial jobs, one at a time, ever more rarely; a gone one a last."""
         gone = w.entry.phase is api.Phase.GONE
         trial = w.held == 0 and self.now >= w.next_trial and not (gone and w.failures > 1)
         return trial or self._doubt(w) < (TRUST if gone else limit)
 
     def _meet(self, w: Worker, r: Request) -> bool:
-        """Find out by a probe, else by trial jobs one at a time in all, whether one newly listed is ours.
-
-        Guards against listed strangers, whatever they answer. It may hurt where ours answer few probes.
-        """
+        """Guard against listed strangers by a probe, else by trial jobs, one at a time in all."""
         if self.settings.may_probe:
             if self.probes >= 1 and self.now >= w.next_trial:
                 self.probes, w.failures = self.probes - 1, w.failures + 1
@@ -488,6 +481,7 @@
             self.out.append(api.Release(w.entry.worker))
         idle = self.now - w.idle.pop() if w.idle else 0
         w.unstarted.add(key)
+        self.unheard[w.entry.zone] = min(self.unheard.get(w.entry.zone, 0) + 1, UNHEARD[1])
         self.flying[key] = Attempt(r, w.entry.worker, self.now, w.entry.zone != self.settings.zone, idle)
         r.attempts.append(self.flying[key])
         self.copies = min(self.copies + COPY_SHARE, 10.0)
@@ -527,6 +521,7 @@
         if attempt := self.flying.get(key := (event.request, event.attempt)):
             w = self.workers[event.worker]
             self._touch(w)
+            self.unheard[w.entry.zone] = 0
             if not attempt.began:
                 attempt.began, w.silence = self.now, 0.0
                 wait, way = self.now - attempt.sent, (attempt.crossed, not attempt.idle)
@@ -610,7 +605,9 @@
         self.reuse = min(self.reuse * (1 + LEARN / 5), self.settings.conn_idle_us)
         if not w.known:
             w.known, self.strangers, self.meet_at = True, self.strangers // 2, self.now
-        w.blame, w.silence, w.failures, w.fulls, w.vouched = w.blame / 2, 0.0, 0, 0, self.now
+        w.blame, w.silence, w.failures, w.fulls, w.vouched = w.blame / 2, 0.0, w.failures // 2, 0, self.now
+        if w.blame >= TRUST:  # it may fail most of its jobs, not all: the one that it served opens no door
+            w.next_trial = self.now + int(run) * 2 ** min(w.failures + 1, 4)
         # Held against a hint, a run time tells of the worker; without one, more of the job: there a worker's
         # whole kind tells sooner, and its own add up slowly. A cold one's tell of the cold alone.
         if r.hint:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -860,6 +860,37 @@
     assert len(times) > 20 and early < 0.4 * len(times)
 
 
+def test_a_zone_that_gives_no_sign_of_life_gets_few_jobs_before_any_has_timed_out() -> None:
+    """Every scheduler sent each worker of a lost zone a job of its own, and each waited out its time."""
+    referee = Referee(SILENT)
+    referee.play(api.WorkerList(api.ListKind.FULL, tuple(entry(w, zone=w % 2) for w in range(1, 31))))
+    sent = [0, 0]
+    for number in range(180):
+        for push in pushes(referee.play(api.Arrival(number, 2, 5_000_000), after_us=10_000)):
+            lost = number >= 100 and push.worker % 2
+            sent[push.worker % 2] += number >= 100
+            if not lost:
+                referee.play(api.JobBegan(number, 0, push.worker))
+                referee.end(number, 0, api.Outcome.SERVED)
+    assert sent[1] < 9 and sent[0] > 60, sent
+
+
+def test_a_worker_that_errs_at_most_jobs_is_not_trusted_for_the_one_that_it_served() -> None:
+    """Trials went on one after another once one was served: 80 % of them failed."""
+    referee = Referee(SILENT)
+    referee.play(fleet(10))
+    trials, turn = 0, 0
+    for number in range(600):
+        for push in pushes(referee.play(api.Arrival(number, 2, 5_000_000), after_us=20_000)):
+            turn += push.worker == 1
+            bad = push.worker == 1 and turn % 5
+            trials += number >= 200 and push.worker == 1
+            referee.play(api.JobBegan(number, 0, push.worker))
+            referee.play(after_us=1_000 if bad else 100_000)
+            referee.end(number, 0, api.Outcome.ERROR if bad else api.Outcome.SERVED)
+    assert 0 < trials < 20, trials
+
+
 def erring(errs: Callable[[int, int], bool]) -> tuple[Referee, int]:
     """Serve jobs of three tenants, but those that ``errs`` names by tenant and worker; count these."""
     referee, count = Referee(replace(BASE, tenants=tuple(api.Tenant(1 / 3, 70) for _ in range(3)))), 0
