Space trials after a served job only at workers that answered with errors

Change: a served job halves failures, and spaces the next trial, only where the last failure was an error answered by the worker; a silent or broken connection is forgotten with the first job served, as it was before.

--- a/hazellead/decide/choice.py
+++ b/hazellead/decide/choice.py
@@ -235,8 +235,7 @@
                 t.asked = theirs.value * self.watched
         for t, tokens in zip(self.tenants, known.tokens, strict=False):
             t.throttle.level = t.throttle.buffer + tokens
-        if known.factor.weight > 0 and fresh:
-            self.factor = max(known.factor.value, FLOOR)
+        self.factor = max(known.factor.value, FLOOR) if known.factor.weight > 0 and fresh else self.factor
         self._size()
 
     def _arrive(self, event: api.Arrival) -> None:
@@ -598,15 +597,16 @@
             w.blame = w.blame / 2 + (SLIP if chance else 1)
             if outcome is api.Outcome.RESET and not chance:
                 w.cold_since, w.broke, w.drawn_until = self.now, self.now, 0
-            w.failures, w.next_trial = w.failures + 1, self.now + int(run) * 2 ** min(w.failures, 4)
-            w.failed = self.now
+            w.failures, w.failed, w.erred = w.failures + 1, self.now, outcome is api.Outcome.ERROR
+            w.next_trial = self.now + int(run) * 2 ** min(w.failures - 1, 4)
         if outcome is not api.Outcome.SERVED:
             return
         self.reuse = min(self.reuse * (1 + LEARN / 5), self.settings.conn_idle_us)
         if not w.known:
             w.known, self.strangers, self.meet_at = True, self.strangers // 2, self.now
-        w.blame, w.silence, w.failures, w.fulls, w.vouched = w.blame / 2, 0.0, w.failures // 2, 0, self.now
-        if w.blame >= TRUST:  # it may fail most of its jobs, not all: the one that it served opens no door
+        w.failures = w.failures // 2 if w.erred else 0
+        w.blame, w.silence, w.fulls, w.vouched = w.blame / 2, 0.0, 0, self.now
+        if w.blame >= TRUST and w.erred:  # it may fail most jobs, not all: one served opens no door
             w.next_trial = self.now + int(run) * 2 ** min(w.failures + 1, 4)
         # Held against a hint, a run time tells of the worker; without one, more of the job: there a worker's
         # whole kind tells sooner, and its own add up slowly. A cold one's tell of the cold alone.
--- a/hazellead/decide/records.py
+++ b/hazellead/decide/records.py
@@ -127,6 +127,7 @@
     report: api.Report | None = None
     broke: int = 0  # when it broke before our eyes
     failed: int = 0  # when it last failed
+    erred: bool = False  # its last failure was an error that it answered with, no fault of a connection
     guessed: float = 0.0  # slots that others have told and nothing here has borne out
     unstarted: set[tuple[int, int]] = field(default_factory=set)
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -891,6 +891,19 @@
     assert 0 < trials < 20, trials
 
 
+def test_a_worker_whose_connections_fell_silent_is_trusted_again_as_soon_as_it_serves() -> None:
+    """Trials as rare as at workers that err kept sound ones out: a day fell from 0.96 to 0.92."""
+    referee = Referee(SILENT)
+    referee.play(fleet(1))
+    worker = referee.dispatcher.workers[1]
+    for number, outcome in enumerate([api.Outcome.TIMED_OUT] * 3 + [api.Outcome.SERVED] * 4):
+        referee.play(api.Arrival(number, 2, 5_000_000), after_us=5_000_000)
+        referee.play(api.JobBegan(number, 0, 1))
+        referee.end(number, 0, outcome)
+        if outcome is api.Outcome.SERVED:
+            assert worker.failures == 0 and worker.next_trial <= referee.now
+
+
 def erring(errs: Callable[[int, int], bool]) -> tuple[Referee, int]:
     """Serve jobs of three tenants, but those that ``errs`` names by tenant and worker; count these."""
     referee, count = Referee(replace(BASE, tenants=tuple(api.Tenant(1 / 3, 70) for _ in range(3)))), 0
