Say once when a worker may be cold or keeps a connection; use the tests' own stream of jobs

The weight of a run time was set and then set again; UNHEARD was a pair told apart by index; one condition had been folded into a sum to save a line and is a condition again; the comment on 'timed' no longer said what it counts.

--- a/hazellead/decide/choice.py
+++ b/hazellead/decide/choice.py
@@ -39,7 +39,7 @@
 PROBE_SPEND = 0.01  # points a request that may be spent on probes
 ASK_APART = 10  # ticks, for each dispatcher, over which the first calls to the list service are spread
 LOOKING, LOOK = 0.75, 3  # part of the slack a job waits for a worker shown free by a probe; those probed
-UNHEARD = (2, 8)  # pushes to a zone without a sign of life that turn none away, and that are counted
+UNHEARD, UNHEARD_MOST = 2, 8  # pushes to a zone without a sign of life that are borne, that are counted
 UNREACHED = 0.5  # part of the newest connects failing, from which open connections come first
 SAMPLE = 8  # workers looked at before the whole fleet is
 STALE = 4.0  # report periods without a new one after which what it said counts for nothing
@@ -345,7 +345,7 @@
                 few = [[w for w in self.cold if self._cold_room(w) and w in pool], *few]
             # An open connection spares a handshake, and serves where tables are full or new ones fail.
             if s.handshake_price > 0 or self.unreached > UNREACHED:
-                few = [[w for w in pool if w.idle and w.idle[-1] > self.now - 0.9 * self.reuse]]
+                few = [[w for w in pool if w.keeps(self.now, 0.9 * self.reuse)]]
             for some in (*few, pool):
                 fits = self._fits(r, some, TRUST, blind)
                 if not fits and some is pool and (limit := self._doubt_limit()) > TRUST:
@@ -414,9 +414,8 @@
 
     def _quick(self, w: Worker) -> float:
         """Weigh a worker by how soon jobs began there, the one sign of others' jobs, and by the way to it."""
-        kept = bool(w.idle) and w.idle[-1] > self.now - self.reuse
-        way = self.transit.get((w.entry.zone != self.settings.zone, not kept), 0.0)
-        lost = max(0, self.unheard.get(w.entry.zone, 0) - UNHEARD[0])  # its workers are often lost together
+        way = self.transit.get((w.entry.zone != self.settings.zone, not w.keeps(self.now, self.reuse)), 0.0)
+        lost = max(0, self.unheard.get(w.entry.zone, 0) - UNHEARD)  # its workers are often lost together
         return 1 / (1 + (w.wait.value + way) / self.mean_run) ** AVOID / (1 + lost) ** 2
 
     def _silence(self, w: Worker) -> float:  # unanswered work since a sign of serving, in mean run times
@@ -451,7 +450,7 @@
     def _cold_room(self, w: Worker) -> bool:
         """Keep to our part, by traffic, of what a cold worker bears in a window (rule 4)."""
         s = self.settings
-        if not 0 < w.cold_since > self.now - s.warm_up_us:
+        if not w.warms(self.now, s.warm_up_us):
             return True
         if not w.drawn_until:  # all are told at once: their windows begin apart, or their parts come together
             w.tickets, w.drawn_until = 0, self.now + int(s.fall_us * self.rng.random())
@@ -480,7 +479,7 @@
             self.out.append(api.Release(w.entry.worker))
         idle = self.now - w.idle.pop() if w.idle else 0
         w.unstarted.add(key)
-        self.unheard[w.entry.zone] = min(self.unheard.get(w.entry.zone, 0) + 1, UNHEARD[1])
+        self.unheard[w.entry.zone] = min(self.unheard.get(w.entry.zone, 0) + 1, UNHEARD_MOST)
         self.flying[key] = Attempt(r, w.entry.worker, self.now, w.entry.zone != self.settings.zone, idle)
         r.attempts.append(self.flying[key])
         self.copies = min(self.copies + COPY_SHARE, 10.0)
@@ -614,9 +613,9 @@
             self.by_hint.add(ratio := spent_us / r.hint, LEARN / 5)
             ratio, weight = min(ratio / self.by_hint.value, 4.0), max(1 / (w.timed + 4), LEARN)
         else:
-            ratio, weight = min(spent_us / run, 10.0), max(1 / (w.timed + KIN), LEARN / 2)
-            weight = 2 * LEARN if self.settings.reports else weight
-        if r.hint or self.settings.reports or not 0 < w.cold_since > self.now - self.settings.warm_up_us:
+            ratio = min(spent_us / run, 10.0)
+            weight = 2 * LEARN if self.settings.reports else max(1 / (w.timed + KIN), LEARN / 2)
+        if r.hint or self.settings.reports or not w.warms(self.now, self.settings.warm_up_us):
             w.timed += 1
             w.speed.add(ratio, weight, self.now, LEARN / 5)
             self.kinds.setdefault(w.entry.kind, Mean(1.0)).add(ratio, LEARN / 5 if r.hint else LEARN / 20)
@@ -625,7 +624,8 @@
         self.ran[r.job_class].add(max(1, spent_us), LEARN / 5)
         if w.held + 1 >= w.slots and not w.told:
             w.slots += 1 / w.slots
-        self.factor += RISE * self.spare * self.step if self.now - self.bound_at < 2 * run else 0.0
+        if self.now - self.bound_at < 2 * run:
+            self.factor += RISE * self.spare * self.step
 
     def _report(self, w: Worker, report: api.Report | None) -> None:
         fresh = self.settings.reports_by_probe
--- a/hazellead/decide/records.py
+++ b/hazellead/decide/records.py
@@ -110,7 +110,7 @@
     slots: float = 2.0  # as reports tell (``told``); where none does, by accepts and refusals
     told: bool = False
     speed: Learned = field(default_factory=lambda: Learned(1.0))  # run times here over run times anywhere
-    timed: int = 0  # run times seen here that a hint could be held against
+    timed: int = 0  # run times that went into ``speed``; 1 at least where others' have
     period: float = 1e6  # time between reports
     idle: list[int] = field(default_factory=list)  # since when each of our open connections idles
     tickets: int = 0  # pushes left in this window while it is cold
@@ -136,6 +136,14 @@
         """Return run times here over run times anywhere."""
         return self.speed.value
 
+    def warms(self, now: int, warm_up_us: int) -> bool:
+        """Say whether its last start is known and may still leave it cold."""
+        return 0 < self.cold_since > now - warm_up_us
+
+    def keeps(self, now: int, within_us: float) -> bool:
+        """Say whether we have a connection open there that has idled for less than that."""
+        return bool(self.idle) and self.idle[-1] > now - within_us
+
     def seen_here(self) -> "door.KnownWorker":
         """Return what was seen of it here."""
         from hazellead.decide import known as door
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -113,6 +113,14 @@
             yield r, n, referee.books[r].sent[n]
 
 
+def run_job(referee: Referee, request: int, number: int, run_us: int,
+            outcome: api.Outcome = api.Outcome.SERVED, way_us: int = 0) -> None:
+    """Let an attempt begin after ``way_us``, run and end."""
+    referee.play(api.JobBegan(request, number, referee.books[request].sent[number].worker), after_us=way_us)
+    referee.play(after_us=run_us)
+    referee.end(request, number, outcome)
+
+
 def test_overflow_is_refused_at_once_with_a_retry_after() -> None:
     referee = Referee()
     referee.play(fleet())
@@ -805,10 +813,7 @@
     for number in range(200):
         referee.play(api.Arrival(number, 2, 5_000_000, hint_us=50_000), after_us=1_000)
         for r, n in referee.open_attempts():
-            slow = referee.books[r].sent[n].worker % 2
-            referee.play(api.JobBegan(r, n, referee.books[r].sent[n].worker))
-            referee.play(after_us=100_000 if slow else 50_000)
-            referee.end(r, n, api.Outcome.SERVED)
+            run_job(referee, r, n, 100_000 if referee.books[r].sent[n].worker % 2 else 50_000)
     more = tuple(replace(entry(w), kind=w % 2) for w in (20, 21))
     referee.play(changes(*more))
     paces = [referee.dispatcher._pace(referee.dispatcher.workers[w]) for w in (20, 21)]
@@ -820,13 +825,8 @@
     referee = Referee(SILENT)
     referee.play(api.WorkerList(
         api.ListKind.FULL, tuple(replace(entry(w), kind=w % 2) for w in range(1, 41))))
-    for number in range(400):
-        referee.play(api.Arrival(number, 2, 5_000_000), after_us=1_000)
-        for r, n in referee.open_attempts():
-            worker = referee.books[r].sent[n].worker
-            referee.play(api.JobBegan(r, n, worker))
-            referee.play(after_us=(50_000 + 50_000 * (worker % 2)) * (1 if number % 10 else 8))
-            referee.end(r, n, api.Outcome.SERVED)
+    for r, n, sent in stream(referee, 400, 1_000):
+        run_job(referee, r, n, (50_000 + 50_000 * (sent.worker % 2)) * (1 if r % 10 else 8))
     paces = [[referee.dispatcher._pace(w) for w in referee.dispatcher.workers.values() if w.entry.kind == k]
              for k in (0, 1)]
     assert max(paces[0]) < min(paces[1])
@@ -836,18 +836,16 @@
     """A third of all jobs crossed on new connections: their handshakes alone used the whole slack up."""
     referee = Referee(replace(SILENT, conn_idle_us=10_000_000))
     referee.play(api.WorkerList(api.ListKind.FULL, tuple(entry(w, zone=1) for w in range(1, 17))))
-    workers, sent = referee.dispatcher.workers, [0, 0]
-    for number in range(400):
-        for w in range(2, 17, 2):  # those that close connections at once
-            workers[w].idle.clear()
-        open_ones = {w for w in workers if workers[w].idle}
-        (push,) = pushes(referee.play(api.Arrival(number, 2, 5_000_000), after_us=20_000))
-        sent[push.worker % 2] += number >= 100
-        handshake = 0 if push.worker in open_ones else 90_000
-        referee.play(api.JobBegan(number, 0, push.worker), after_us=30_000 + handshake)
-        referee.play(after_us=100_000)
-        referee.end(number, 0, api.Outcome.SERVED)
-    assert sent[1] > 8 * sent[0], sent
+    counts, connected = [0, 0], set[int]()
+    for r, n, sent in stream(referee, 400, 20_000):
+        counts[sent.worker % 2] += r > 100
+        handshake = 0 if sent.worker in connected else 90_000
+        run_job(referee, r, n, 100_000, way_us=30_000 + handshake)
+        if sent.worker % 2:
+            connected.add(sent.worker)
+        else:  # it closes connections at once
+            referee.dispatcher.workers[sent.worker].idle.clear()
+    assert counts[1] > 8 * counts[0], counts
 
 
 def test_dispatchers_told_of_a_cold_worker_at_once_do_not_all_push_at_once() -> None:
@@ -864,15 +862,12 @@
     """Every scheduler sent each worker of a lost zone a job of its own, and each waited out its time."""
     referee = Referee(SILENT)
     referee.play(api.WorkerList(api.ListKind.FULL, tuple(entry(w, zone=w % 2) for w in range(1, 31))))
-    sent = [0, 0]
-    for number in range(180):
-        for push in pushes(referee.play(api.Arrival(number, 2, 5_000_000), after_us=10_000)):
-            lost = number >= 100 and push.worker % 2
-            sent[push.worker % 2] += number >= 100
-            if not lost:
-                referee.play(api.JobBegan(number, 0, push.worker))
-                referee.end(number, 0, api.Outcome.SERVED)
-    assert sent[1] < 9 and sent[0] > 60, sent
+    counts = [0, 0]
+    for r, n, sent in stream(referee, 180, 10_000):
+        counts[sent.worker % 2] += r > 100 and sent.at == referee.now
+        if r <= 100 or sent.worker % 2 == 0:
+            run_job(referee, r, n, 0)
+    assert counts[1] < 9 and counts[0] > 60, counts
 
 
 def test_a_worker_that_errs_at_most_jobs_is_not_trusted_for_the_one_that_it_served() -> None:
@@ -880,14 +875,11 @@
     referee = Referee(SILENT)
     referee.play(fleet(10))
     trials, turn = 0, 0
-    for number in range(600):
-        for push in pushes(referee.play(api.Arrival(number, 2, 5_000_000), after_us=20_000)):
-            turn += push.worker == 1
-            bad = push.worker == 1 and turn % 5
-            trials += number >= 200 and push.worker == 1
-            referee.play(api.JobBegan(number, 0, push.worker))
-            referee.play(after_us=1_000 if bad else 100_000)
-            referee.end(number, 0, api.Outcome.ERROR if bad else api.Outcome.SERVED)
+    for r, n, sent in stream(referee, 600, 20_000):
+        turn += sent.worker == 1
+        bad = sent.worker == 1 and turn % 5
+        trials += r > 200 and sent.worker == 1
+        run_job(referee, r, n, 1_000 if bad else 100_000, api.Outcome.ERROR if bad else api.Outcome.SERVED)
     assert 0 < trials < 20, trials
 
 
@@ -898,8 +890,7 @@
     worker = referee.dispatcher.workers[1]
     for number, outcome in enumerate([api.Outcome.TIMED_OUT] * 3 + [api.Outcome.SERVED] * 4):
         referee.play(api.Arrival(number, 2, 5_000_000), after_us=5_000_000)
-        referee.play(api.JobBegan(number, 0, 1))
-        referee.end(number, 0, outcome)
+        run_job(referee, number, 0, 0, outcome)
         if outcome is api.Outcome.SERVED:
             assert worker.failures == 0 and worker.next_trial <= referee.now
 
