Notice silent watches apart and open them anew at once, so that all hear of drains in time

All six asked within 0.19 s (7.68 to 7.87) and were answered at 8.04, 8.37, 8.71, 9.04, 9.38, 9.71: discovery takes calls in turn, 0.334 s each here, so six need 2 s and only 1 s was left. At fault: limits.watch and watch_grace (6 s and 1 s, of at most 8 s that count), the same for all; discovery._watch, which left a silent watch to the module's back-off; that back-off's doubling (0.5 to 8 s) when discovery turns a call away.

Ruled out: from choice to first byte 0.14 ms in the median, 1.5 ms at most over 4,502 sends; processor (0.36 s in the busiest second); the list's size (726 bytes). Continued calls are answered at once after their wait, whatever is queued: a shorter wait costs discovery no turn (a play with 1 s).

Each call of an open watch waits for a time drawn anew, from 1 s to 4 s (what silence leaves beside 2 s for answers), longer where more schedulers need it (40 ms each, as the module spreads its first calls). A call that opens a watch waits for no change, so its answer shows that the watch is open. A silent watch is opened anew at once; while its news, or those after SIGHUP, are due, a refused call is tried again after 0.25 to 1 s.

--- a/hazellead/__main__.py
+++ b/hazellead/__main__.py
@@ -96,7 +96,7 @@
             if given.discovery is None:
                 raise config.ConfigError("discovery is missing")
             self.watch = Watch(
-                given.discovery, given.names, given.limits, given.known, self.scheduler.listed)
+                given.discovery, given.names, given.limits, given.known, self.scheduler.listed, given.seed)
             workers = HttpWorkers(self.watch, given.limits, clock)
             self.scheduler.connect(workers, self.watch)
         self.estate: PlatformEstate | None = None
--- a/hazellead/platform/discovery.py
+++ b/hazellead/platform/discovery.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -26,19 +27,30 @@
     """Discovery answered with something that is not a list."""
 
 
-_FAILURES = (StreamClosedError, TimeoutError, http.HttpError, ListError)
+class RefusedError(Exception):
+    """Discovery did not answer with a list: it is down, or has no room for the call."""
+
+
+class _SilentError(Exception):
+    """An open watch has not been answered: what it should have told has to be asked for anew."""
+
+
+_FAILURES = (_SilentError, RefusedError, StreamClosedError, TimeoutError, http.HttpError, ListError)
 
 
 class _Source:
     """One discovery service: where it is, the version it last told, and the watch kept there."""
 
-    def __init__(self, address: tuple[str, int], version: int | None) -> None:
+    def __init__(self, address: tuple[str, int], version: int | None, *, due: bool = False) -> None:
         self.address, self.version = address, version
+        self.due = due  # what it has to tell counts as told soon, whether or not it arrives
         self.stream: IOStream | None = None
+        self.open = False  # its watch has been answered, and goes on if asked again at once
         self.task: asyncio.Task[None] | None = None
 
     def drop(self) -> None:
-        """End its connection."""
+        """End its connection, and with it the watch."""
+        self.open = False
         if self.stream:
             self.stream.close()
             self.stream = None
@@ -54,10 +66,11 @@
 
     def __init__(
         self, discovery: tuple[str, int], names: Names, limits: Limits, known: dict[str, Any],
-        listener: Callable[[api.WorkerList], None],
+        listener: Callable[[api.WorkerList], None], seed: int = 0,
     ) -> None:
-        """Tell the listener of the list held from before."""
+        """Tell the listener of the list held from before. Seeds must differ between schedulers."""
         self._names, self._limits, self._listener = names, limits, listener
+        self._rng = random.Random(seed)
         self._numbers: dict[str, int] = {}  # the module's numbers for workers' names
         self._places: dict[int, Place] = {}
         self._source = _Source(discovery, 0)
@@ -125,7 +138,7 @@
             self._source.leave()
         else:
             self._former = self._source
-        self._source = _Source(discovery, None)
+        self._source = _Source(discovery, None, due=True)
         self.subscribe()
 
     def fetch(self) -> None:
@@ -141,16 +154,28 @@
                 source.leave()
 
     async def _watch(self, source: _Source) -> None:
-        # The next call follows each answer at once: within 200 ms the changes in between count as told.
-        wait = self._limits.watch // streams.MS
+        failures = 0
         try:
             while True:
-                if source.version is None:
-                    query, span = "", self._limits.fetch
-                else:
-                    query, span = f"?index={source.version}&wait={wait}", self._limits.watch
-                given = await within(span + self._limits.watch_grace, self._call(source, query))
-                source.version = self._take(given)
+                try:
+                    source.version = self._take(await self._next(source))
+                except _FAILURES as error:
+                    source.drop()
+                    if isinstance(error, _SilentError):
+                        log.warning("watch_silent", version=source.version, waited=str(error))
+                        source.due = True  # and asked for at once
+                        continue
+                    source.due |= isinstance(error, ListError)  # it was told, but cannot be read
+                    # Guards against a failure at the one time when the list must not wait: the module's
+                    # next try would come ever later.
+                    if not source.due or source is not self._source:
+                        raise
+                    self._warn(error)
+                    pause = min(self._limits.retry * 2 ** failures, self._limits.retry_most)
+                    await asyncio.sleep(pause.total_seconds() * (0.5 + self._rng.random() / 2))
+                    failures += 1
+                    continue
+                source.due, failures = False, 0
                 if source is self._source and self._former:
                     self._former.leave()
                     self._former = None
@@ -162,12 +187,43 @@
             source.task = None
             source.drop()
 
+    async def _next(self, source: _Source) -> Any:
+        """Return what discovery tells next; raises _SilentError if the watch has fallen silent.
+
+        The call that opens a watch waits for its turn at discovery, but for no change: its answer shows that
+        the watch is open. The next follows at once: within 200 ms the changes in between count as told, and
+        its turn does not come again.
+
+        Guards against schedulers whose watches fall silent together noticing it together: discovery takes
+        calls in turn, so the last of them would hear of a drain when it has long counted as told. Each draws
+        its waits anew, evenly over a span in which discovery can answer all.
+        """
+        limits = self._limits
+        if source.stream is None or not streams.alive(source.stream):
+            if source.stream:
+                source.stream.close()
+            source.stream = await streams.connect(*source.address, limits)
+        if source.open:
+            wait = limits.watch_least + (limits.watch_most - limits.watch_least) * self._rng.random()
+            span = wait + limits.watch_grace
+        else:
+            wait, span = streams.MS, limits.fetch + limits.fetch_grace
+        query = "" if source.version is None else f"?index={source.version}&wait={wait // streams.MS}"
+        try:
+            given = await within(span, self._exchange(source.stream, source.address, query))
+            source.open = True
+            return given
+        except TimeoutError:
+            if not source.open:
+                raise
+            raise _SilentError(span.total_seconds()) from None
+
     async def _fetch(self) -> None:
         stream, address = None, self._source.address
         try:
             stream = await streams.connect(*address, self._limits)
             self._take(await within(
-                self._limits.fetch + self._limits.watch_grace, self._exchange(stream, address, "")))
+                self._limits.fetch + self._limits.fetch_grace, self._exchange(stream, address, "")))
         except _FAILURES as error:
             if address == self._source.address:
                 self._failed(error)
@@ -175,16 +231,13 @@
             if stream:
                 stream.close()
 
-    def _failed(self, error: Exception) -> None:
+    def _warn(self, error: Exception) -> None:
         cause = getattr(error, "real_error", None) or error
         log.warning("discovery_failed", reason=str(cause) or type(cause).__name__)
-        self._listener(api.WorkerList(api.ListKind.FAILED))
 
-    async def _call(self, source: _Source, query: str) -> Any:
-        if source.stream is None or not streams.alive(source.stream):
-            source.drop()
-            source.stream = await streams.connect(*source.address, self._limits)
-        return await self._exchange(source.stream, source.address, query)
+    def _failed(self, error: Exception) -> None:
+        self._warn(error)
+        self._listener(api.WorkerList(api.ListKind.FAILED))
 
     async def _exchange(self, stream: IOStream, address: tuple[str, int], query: str) -> Any:
         host, port = address
@@ -193,7 +246,7 @@
         if not message.keep:
             stream.close()
         if message.status != 200:
-            raise ListError(f"status {message.status}")
+            raise RefusedError(f"status {message.status}")
         try:
             return json.loads(message.body)
         except ValueError:
--- /dev/null
+++ b/tests/test_watch.py
@@ -0,0 +1,125 @@
+"""What schedulers are told in time when watches fall silent, at a discovery that takes calls in turn."""
+
+import asyncio
+import json
+import time
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from datetime import timedelta
+
+from loopback import http_message, run, until
+
+from hazellead.decide import interface as api
+from hazellead.limits import Limits
+from hazellead.platform.config import Names
+from hazellead.platform.discovery import Watch
+
+NAMES = Names(("a",), (), ("a",), ("m",))
+TOLD = 6.0  # after which what a silent watch misses counts as told
+GRACE = 0.4  # for which a send may still go there
+Wound = Callable[[asyncio.StreamWriter, bytes], None]
+
+
+def listing(rev: int, state: str, *, whole: bool) -> bytes:
+    target = {"uid": "s-1", "endpoint": "127.0.0.1:80", "az": "a", "model": "m", "state": state}
+    return json.dumps({"rev": rev, "all": whole, "targets": [target]}).encode()
+
+
+def answer(body: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+
+
+class Turns:
+    """A discovery that takes calls that open a watch in turn, and turns away those that would wait too long."""
+
+    def __init__(self, each: float = 0.0, most: float = 2.0) -> None:
+        self.each, self.most = each, most
+        self.rev, self.free, self.away = 1, 0.0, 0
+        self.calls, self.changed = list[str](), asyncio.Condition()
+        self.deaf = set[asyncio.StreamWriter]()  # whose calls are never answered
+        self.open = set[asyncio.StreamWriter]()
+        self.refuse = 0  # calls to come that get 503
+        self.wound: Wound | None = None  # what becomes of the next answer
+        self.told = dict[asyncio.StreamWriter, int]()
+
+    @asynccontextmanager
+    async def serving(self) -> AsyncIterator[tuple[str, int]]:
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        try:
+            yield server.sockets[0].getsockname()
+        finally:
+            server.close()
+
+    async def drain(self) -> None:
+        """Tell that the one worker drains."""
+        async with self.changed:
+            self.rev += 1
+            self.changed.notify_all()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            try:
+                first, _, _ = await http_message(reader)
+            except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+                return
+            self.calls.append(first.split()[1])
+            query = dict(p.split("=") for p in self.calls[-1].partition("?")[2].split("&") if p)
+            index, wait = int(query.get("index", -1)), int(query.get("wait", 0)) / 1000
+            if writer in self.deaf:
+                continue
+            if writer not in self.open:
+                now = time.monotonic()
+                start = max(now, self.free)
+                if self.refuse or start - now > self.most:
+                    self.refuse, self.away = max(0, self.refuse - 1), self.away + 1
+                    writer.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+                    continue
+                self.free = start + self.each
+                await asyncio.sleep(self.free - now)
+                self.open.add(writer)
+            async with self.changed:
+                try:
+                    await asyncio.wait_for(self.changed.wait_for(lambda i=index: self.rev != i), wait)
+                except TimeoutError:
+                    pass
+            if writer in self.deaf:
+                continue
+            state = "up" if self.rev == 1 else "draining"
+            body = (listing(self.rev, state, whole=index < 0) if self.rev != index
+                    else json.dumps({"rev": self.rev, "all": False, "targets": []}).encode())
+            wound, self.wound = self.wound, None
+            (wound or asyncio.StreamWriter.write)(writer, answer(body))
+
+
+class Scheduler:
+    """A watch, and when it was told of the drain; asks again after a failure as the module does at first."""
+
+    def __init__(self, address: tuple[str, int], limits: Limits, seed: int) -> None:
+        self.drained, self.failures = 0.0, 0
+        known = json.loads(listing(1, "up", whole=True))
+        self.watch = Watch(address, NAMES, limits, known, self.told, seed)
+        self.watch.subscribe()
+
+    def told(self, event: api.WorkerList) -> None:
+        if event.kind is api.ListKind.FAILED:
+            self.failures += 1
+            asyncio.get_running_loop().call_later(0.375 * 2 ** min(self.failures - 1, 4), self.watch.subscribe)
+        elif any(e.phase is api.Phase.DRAINING for e in event.entries):
+            self.drained = self.drained or time.monotonic()
+
+
+def test_schedulers_whose_watches_fall_silent_together_are_all_told_in_time() -> None:
+    async def case() -> None:
+        count, discovery = 9, Turns(each=0.3)
+        limits = Limits.fit(256, 32, 100, timedelta(seconds=0.25), timedelta(seconds=5), schedulers=count)
+        async with discovery.serving() as address:
+            fleet = [Scheduler(address, limits, seed) for seed in range(count)]
+            await until(lambda: len(discovery.open) == count)
+            silent, discovery.deaf = time.monotonic(), set(discovery.open)
+            await discovery.drain()
+            await until(lambda: all(s.drained for s in fleet))
+            assert max(s.drained for s in fleet) - silent < TOLD + GRACE
+            for s in fleet:
+                s.watch.close()
+
+    run(case())
