Test lists of 1,024 servers, silent and broken watches; ask again at once for unreadable lists

Lists that cannot be read (not JSON, malformed, over the limit) went to the module's back-off, which grows to 8 s, though what they say counts as told when it is written; the log said "body too large".

Change: such a list is asked for again after 0.25 to 1 s, the last good one stays, and the one line names what was wrong ("list over 1048576 bytes"). Peers: a frame holds a Sync of 1,024 members with the longest names (602,112 bytes; 256 KiB refused 450 and more of them), facts of 4,096 instances are kept (1,024, former lives included, before).

Ruled out by measure: the stream's 256 KiB buffer (a larger list arrives whole, in pieces of 9,973 bytes); processor (1,024 servers: 30 ms for a whole list); memory (29.8 MB peak of 32). The hand-over passes 1,024 workers as it was.

--- a/hazellead/learning/facts.py
+++ b/hazellead/learning/facts.py
@@ -90,7 +90,7 @@
     alone: float = 4.0  # factor from the default past which fewer than three sources cannot move it
     witnesses: int = 4  # facts of different origins kept for one key
     most_facts: int = 20_000
-    most_origins: int = 1024
+    most_origins: int = 4096  # former lives included: as many as members
     told_at_once: int = 256  # facts that an instance tells in one step
     news: float = 0.15  # change of a value, as a factor's logarithm, that is worth telling
     shun: timedelta = timedelta(seconds=1)  # how long a drain that others have heard of holds without renewal
--- a/hazellead/peers/messages.py
+++ b/hazellead/peers/messages.py
@@ -120,7 +120,7 @@
 class Bounds:
     """How large things may be."""
 
-    frame: int = 256 * 1024
+    frame: int = 1024 * (128 + 128 + 300 + 32)  # a Sync of 1,024 members, each rumour as long as may be
     rumours: int = 4096  # in one Sync
     piggyback: int = 12  # in any other message
     rows: int = 4096
--- a/hazellead/peers/transport.py
+++ b/hazellead/peers/transport.py
@@ -33,7 +33,7 @@
     connections: int = 64
     strangers: int = 16  # connections that have not proven themselves yet
     read: int = 64 * 1024
-    unread: int = 512 * 1024  # written to a member and not yet taken
+    unread: int = 1024 * 1024  # written to a member and not yet taken; a frame must fit
     queued: int = 8  # messages held for a member while its connection opens
     rate: int = 512 * 1024  # bytes a second read from one member
     messages: int = 400  # a second handled from one member
--- a/hazellead/platform/discovery.py
+++ b/hazellead/platform/discovery.py
@@ -35,7 +35,7 @@
     """An open watch has not been answered: what it should have told has to be asked for anew."""
 
 
-_FAILURES = (_SilentError, RefusedError, StreamClosedError, TimeoutError, http.HttpError, ListError)
+_FAILURES = (_SilentError, RefusedError, StreamClosedError, TimeoutError, ListError)
 
 
 class _Source:
@@ -242,7 +242,11 @@
     async def _exchange(self, stream: IOStream, address: tuple[str, int], query: str) -> Any:
         host, port = address
         await stream.write(http.request("GET", f"/discovery/hosts{query}", f"{host}:{port}"))
-        message = await read_response(stream, self._limits.for_lists())
+        try:
+            message = await read_response(stream, self._limits.for_lists())
+        except http.HttpError as error:
+            what = f"list over {self._limits.worker_list} bytes" if error.status == 413 else str(error)
+            raise ListError(what) from None
         if not message.keep:
             stream.close()
         if message.status != 200:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -15,7 +15,7 @@
 from typing import Any
 
 import pytest
-from helpers import fleet, pushes
+from helpers import BASE, fleet, pushes
 from hypothesis import given as examples
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -464,3 +464,12 @@
         b.close()
 
     run(case())
+
+
+def test_what_is_known_of_a_thousand_workers_passes_in_one_message() -> None:
+    d = Dispatcher(BASE, 1)
+    d.handle(1_000_000, [fleet(1024)])
+    names = {f"s-{n:032x}": n for n in range(1, 1025)}
+    body = state.write(d.known(), "s-{:032x}".format, [""], [""])
+    (got,) = Reader().feed(encode(Message("offer", {"known": body})))
+    assert len(state.read(got.body["known"], names.get, [""], [""]).workers) == 1024
--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -316,3 +316,11 @@
 
 def test_weight_fades_by_half_lives() -> None:
     assert faded(8.0, 3 * S, S) == 1.0 and faded(8.0, -5, S) == 8.0
+
+
+def test_more_than_a_thousand_instances_are_known_at_once() -> None:
+    k = knowledge("me")
+    for n in range(1500):
+        fact = Fact(int(Topic.PACE), f"w-{n}", 0, 2.0, 20.0, NOW, 1)
+        assert k.take(NOW, [Batch(Origin(f"n{n}", 1), 1, [fact])]) == 1
+    assert len(k.sources(NOW, 1)) == 1500
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -31,6 +31,7 @@
 )
 from hazellead.peers.node import NodeSettings
 from hazellead.peers.swim import Swim, SwimSettings
+from hazellead.peers.transport import PeerLimits
 
 S = 1_000_000
 
@@ -278,3 +279,10 @@
         if name in best or standing in (0, 1):
             best[name] = max(best.get(name, (-1, -1)), (incarnation, standing))
     assert {n: (m.incarnation, int(m.standing)) for n, m in s.members.items()} == best
+
+
+def test_a_thousand_members_with_the_longest_names_are_told_in_one_exchange() -> None:
+    rumours = [Rumour(f"{n:0128}", "a" * 300, 1 << 40, 0, f"{n:0128}") for n in range(1024)]
+    (got,) = Reader(Bounds()).feed(encode(Sync(rumours)))
+    assert got == Sync(rumours)
+    assert PeerLimits().unread > len(encode(Sync(rumours)))
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -15,6 +15,8 @@
 from loopback import ROOT, HttpWorker, free_port, http_message, http_post, run, until
 from tornado.testing import bind_unused_port
 
+from hazellead.limits import Limits
+
 SETTINGS = tomllib.loads((ROOT / "deploy/gearman.toml").read_text())["settings"]
 TAKEN = bind_unused_port()
 HEADERS = "X-Trace-Id: {}\r\nX-Customer: pohja-vesi\r\nX-Expires-In: 5000m\r\n"
@@ -219,3 +221,50 @@
     done = subprocess.run([sys.executable, "-m", "hazellead"], cwd=ROOT, env={"GW_CONFIG": str(path)},
                           capture_output=True, text=True, timeout=20, check=False)
     assert done.returncode == 2 and words in done.stderr and done.stderr.count("\n") == 1
+
+
+def test_a_thousand_servers_fit_in_the_least_memory_whole_and_as_changes(tmp_path: Path) -> None:
+    """1,024 servers, indented, in pieces of odd lengths; a list over the limit changes nothing."""
+
+    async def case() -> None:
+        port, count, asked, most = free_port(), Counter[bytes](), list[str](), Limits().worker_list
+        worker = HttpWorker("s-0", count, lambda: port)
+
+        def listing(rev: int, *, whole: bool, others: str) -> bytes:
+            targets = [{
+                "uid": f"s-{n:x}", "endpoint": f"127.0.0.1:{worker.port if n == 0 else 1}", "az": "tartu-dc",
+                "model": "mid-3c", "pod_group": n % 7, "state": others if n else "up", "capacity_hint": 3.0,
+                "boot_ms": 0, "unknown": {"key": [n]}} for n in range(1024)]
+            return json.dumps({"rev": rev, "all": whole, "targets": targets}, indent=4).encode()
+
+        async def discovery(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            with suppress(asyncio.IncompleteReadError, ConnectionError):
+                while True:
+                    asked.append((await http_message(reader))[0].split()[1])
+                    if len(asked) > 3:
+                        continue
+                    body = (listing(5, whole=True, others="up"), listing(6, whole=False, others="draining"),
+                            b" " * (most + 1))[len(asked) - 1]
+                    assert len(body) > 4 * Limits().read  # more than a connection's buffer holds
+                    whole = b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+                    for at in range(0, len(whole), 9973):
+                        writer.write(whole[at:at + 9973])
+                        await asyncio.sleep(0.0005)
+
+        async with worker.serving():
+            server = await asyncio.start_server(discovery, "127.0.0.1", told := free_port())
+            limits = {"sockets": 256, "memory_mb": 32}
+            async with program(tmp_path, port, discovery=f"127.0.0.1:{told}", limits=limits) as process:
+                while b"discovery_failed" not in (line := await process.stderr.readline()):
+                    assert line, "ended"
+                assert b"list over 1048576 bytes" in line
+                assert [a.split("index=")[1].split("&")[0] for a in asked[:3]] == ["1", "5", "6"]
+                for n in range(20):
+                    answer = await http_post(port, "/post-payment", b"%d" % n, HEADERS.format(f"a{n}"))
+                    assert answer[0] == 200  # by the only one that does not drain
+                status = Path(f"/proc/{process.pid}/status").read_text()
+                (peak,) = [int(row.split()[1]) for row in status.splitlines() if row.startswith("VmHWM")]
+                assert peak < 32 * 1024
+            server.close()
+
+    run(case())
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -5,9 +5,12 @@
 import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from datetime import timedelta
 
+import pytest
 from loopback import http_message, run, until
+from structlog.testing import capture_logs
 
 from hazellead.decide import interface as api
 from hazellead.limits import Limits
@@ -30,7 +33,7 @@
 
 
 class Turns:
-    """A discovery that takes calls that open a watch in turn, and turns away those that would wait too long."""
+    """A discovery that takes calls that open a watch in turn, and turns those away that would wait long."""
 
     def __init__(self, each: float = 0.0, most: float = 2.0) -> None:
         self.each, self.most = each, most
@@ -40,7 +43,6 @@
         self.open = set[asyncio.StreamWriter]()
         self.refuse = 0  # calls to come that get 503
         self.wound: Wound | None = None  # what becomes of the next answer
-        self.told = dict[asyncio.StreamWriter, int]()
 
     @asynccontextmanager
     async def serving(self) -> AsyncIterator[tuple[str, int]]:
@@ -57,11 +59,14 @@
             self.changed.notify_all()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            await self._answer_all(reader, writer)
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            return
+
+    async def _answer_all(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while True:
-            try:
-                first, _, _ = await http_message(reader)
-            except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
-                return
+            first, _, _ = await http_message(reader)
             self.calls.append(first.split()[1])
             query = dict(p.split("=") for p in self.calls[-1].partition("?")[2].split("&") if p)
             index, wait = int(query.get("index", -1)), int(query.get("wait", 0)) / 1000
@@ -103,7 +108,8 @@
     def told(self, event: api.WorkerList) -> None:
         if event.kind is api.ListKind.FAILED:
             self.failures += 1
-            asyncio.get_running_loop().call_later(0.375 * 2 ** min(self.failures - 1, 4), self.watch.subscribe)
+            pause = 0.375 * 2 ** min(self.failures - 1, 4)
+            asyncio.get_running_loop().call_later(pause, self.watch.subscribe)
         elif any(e.phase is api.Phase.DRAINING for e in event.entries):
             self.drained = self.drained or time.monotonic()
 
@@ -123,3 +129,126 @@
                 s.watch.close()
 
     run(case())
+
+
+SHORT = replace(
+    Limits(), watch_least=timedelta(milliseconds=50), watch_most=timedelta(milliseconds=100),
+    watch_grace=timedelta(milliseconds=50), fetch=timedelta(milliseconds=300),
+    fetch_grace=timedelta(milliseconds=100), retry=timedelta(milliseconds=40),
+    retry_most=timedelta(milliseconds=80))
+
+
+def half(writer: asyncio.StreamWriter, whole: bytes) -> None:
+    writer.write(whole[: len(whole) - 20])
+
+
+def cut(writer: asyncio.StreamWriter, whole: bytes) -> None:
+    half(writer, whole)
+    writer.close()
+
+
+def reset(writer: asyncio.StreamWriter, whole: bytes) -> None:
+    writer.transport.abort()
+
+
+def endless(writer: asyncio.StreamWriter, whole: bytes) -> None:
+    writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+
+    def more() -> None:
+        if not writer.is_closing():
+            writer.write(b"1\r\n \r\n")
+            asyncio.get_running_loop().call_later(0.01, more)
+
+    more()
+
+
+def saying(body: bytes) -> Wound:
+    return lambda writer, _: writer.write(answer(body))
+
+
+def oversized(writer: asyncio.StreamWriter, whole: bytes) -> None:
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n[" % (SHORT.worker_list + 1))
+
+
+@pytest.mark.parametrize("refusals", [0, 3])
+@pytest.mark.parametrize("each", [0.0, 0.2])
+@pytest.mark.parametrize("wound", [None, half, endless])
+def test_a_drain_that_a_silent_watch_missed_is_told_soon(
+    wound: Wound | None, each: float, refusals: int,
+) -> None:
+    async def case() -> None:
+        discovery = Turns(each)
+        async with discovery.serving() as address:
+            s = Scheduler(address, SHORT, 1)
+            await until(lambda: len(discovery.calls) > 2)  # it goes on
+            discovery.wound, discovery.deaf = wound, set() if wound else set(discovery.open)
+            discovery.refuse = refusals
+            began = time.monotonic()
+            await discovery.drain()
+            await until(lambda: s.drained)
+            assert s.drained - began < 0.7 + 0.08 * refusals
+            assert not s.failures and discovery.away == refusals  # no word of it to the module
+            s.watch.close()
+
+    run(case())
+
+
+@pytest.mark.parametrize(("wound", "told"), [
+    (saying(b"{"), "not JSON"), (saying(b"{}"), "malformed list"),
+    (saying(b'{"rev":2,"all":false,"targets":[{"uid":"s-1"}]}'), "malformed list"),
+    (saying(listing(2, "odd", whole=False)), "unknown state"),
+    (saying(listing(2, "up", whole=True).replace(b"127.0.0.1:80", b"x")), "endpoint is no address"),
+    (oversized, "list over"), (endless, ""), (half, ""), (cut, ""), (reset, "")])
+def test_a_list_that_cannot_be_read_changes_nothing_and_is_asked_for_again(wound: Wound, told: str) -> None:
+    async def case() -> None:
+        discovery = Turns()
+        async with discovery.serving() as address:
+            s = Scheduler(address, SHORT, 1)
+            await until(lambda: len(discovery.calls) > 2)
+            number, discovery.wound = s.watch.number("s-1"), wound
+            with capture_logs() as logs:
+                await discovery.drain()
+                await until(lambda: s.drained)
+            assert number and s.watch.place(number) is not None
+            (line,) = [entry for entry in logs if entry["log_level"] == "warning"]
+            assert told in line.get("reason", "")
+            s.watch.close()
+
+    run(case())
+
+
+def test_a_new_process_and_a_moved_one_hear_of_a_drain_at_once_or_soon_after_refusals() -> None:
+    async def case() -> None:
+        former, discovery = Turns(), Turns()
+        await discovery.drain()
+        async with former.serving() as before, discovery.serving() as address:
+            began, fresh, moved = time.monotonic(), Scheduler(address, SHORT, 1), Scheduler(before, SHORT, 2)
+            await until(lambda: former.open and fresh.drained)
+            assert fresh.drained - began < 0.3
+            discovery.refuse, began = 4, time.monotonic()
+            moved.watch.move(address)
+            await until(lambda: moved.drained)
+            assert moved.drained - began < 0.7 and not moved.failures
+            for s in (fresh, moved):
+                s.watch.close()
+
+    run(case())
+
+
+def test_a_discovery_that_ends_each_connection_is_asked_no_more_often() -> None:
+    def ending(writer: asyncio.StreamWriter, whole: bytes) -> None:
+        writer.write(whole.replace(b"\r\n", b"\r\nConnection: close\r\n", 1))
+        writer.close()
+
+    async def case() -> None:
+        discovery = Turns()
+        async with discovery.serving() as address:
+            s = Scheduler(address, SHORT, 1)
+            until_ = time.monotonic() + 0.5
+            while time.monotonic() < until_:
+                discovery.wound = ending
+                await asyncio.sleep(0.001)
+            assert 5 <= len(discovery.calls) <= 12
+            s.watch.close()
+
+    run(case())
