Send nothing more for a job that another copy has served or whose client has left

At fault: Attempt.may_send (core/jobs.py), the last look before the first byte: it asked whether the worker was open and the attempt not ended, not whether the job still waits. Ruled out: pushes after the answer (none), a first byte before it that arrived late.

Change: may_send asks the core whether the request still awaits its answer; the attempt then ends as never sent.

Both tests were seen to fail without the change.

--- a/hazellead/core/jobs.py
+++ b/hazellead/core/jobs.py
@@ -66,9 +66,11 @@
     def may_send(self) -> bool:
         """Say whether its first byte may go out now.
 
-        Guards against a drain told while a connection was being opened, and against a time-out meanwhile.
+        Guards against what may come about while a connection is being opened: a drain, a time-out, and
+        another copy's result or the client's leave, after which nothing more is sent for the job.
         """
-        return self.outcome is None and self._host.open_to_work(self.worker)
+        return (self.outcome is None and self._host.open_to_work(self.worker)
+                and self._host.awaits_answer(self.request))
 
     def written(self) -> None:
         """Report that its last byte has gone out."""
@@ -103,6 +105,9 @@
     def open_to_work(self, worker: int) -> bool:
         """Say whether a worker may be sent new work."""
 
+    def awaits_answer(self, request: int) -> bool:
+        """Say whether a request still waits for its final answer."""
+
     def attempt_written(self) -> None:
         """Take in that one was written whole."""
 
--- a/hazellead/core/scheduler.py
+++ b/hazellead/core/scheduler.py
@@ -188,6 +188,10 @@
         lost = phase is api.Phase.GONE and not self.settings.drain_binds_alone
         return phase is not api.Phase.DRAINING and not lost
 
+    def awaits_answer(self, request: int) -> bool:
+        """Say whether a request still waits for its final answer."""
+        return (held := self._requests.get(request)) is not None and held.reply is not None
+
     # What the decisions know, for instances that learn from each other.
 
     @property
--- a/tests/test_gearman_parts.py
+++ b/tests/test_gearman_parts.py
@@ -140,6 +140,9 @@
     def __init__(self) -> None:
         self.open, self.ends = True, dict[int, Outcome | None]()
 
+    def awaits_answer(self, _: int) -> bool:
+        return True
+
     def open_to_work(self, _: int) -> bool:
         return self.open
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -160,6 +160,22 @@
     assert again.final == ["failed"] and [a.job.identity for a in worker.sent] == ["b"]
 
 
+def test_nothing_more_is_sent_for_a_job_that_a_copy_has_served_or_whose_client_has_left() -> None:
+    time, worker, scheduler = started()
+    served, left = Answers(), Answers()
+    scheduler.submit(job("a"), served)
+    number = scheduler.submit(job("b"), left)
+    time.run(10 * MS)
+    first, other = worker.sent
+    # A second copy whose connection is still coming up.
+    copy = Attempt(scheduler, first.request, 1, other.worker, first.job, first.sent, first.until)
+    scheduler._requests[first.request].attempts.append(copy)
+    assert copy.may_send() and other.may_send()
+    first.end(api.Outcome.SERVED, b"x")
+    scheduler.abandon(number)
+    assert served.final == ["served x"] and not copy.may_send() and not other.may_send()
+
+
 def test_at_a_called_end_what_never_ran_is_refused_and_what_may_have_run_has_failed() -> None:
     time, worker, scheduler = started()
     sent, waiting = Answers(), Answers()
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -28,7 +28,10 @@
 
     def __init__(self) -> None:
         self.open, self.ended, self.began = True, list[tuple[Outcome | None, bytes]](), 0
-        self.written = 0
+        self.written, self.wanted = 0, True
+
+    def awaits_answer(self, _: int) -> bool:
+        return self.wanted
 
     def open_to_work(self, _: int) -> bool:
         return self.open
@@ -135,7 +138,10 @@
             workers = transport(worker.port)
             workers.send(core.attempt())
             await until(lambda: len(core.ended) == 2)
-        assert [o for o, _ in core.ended] == [Outcome.CONNECT_FAILED, Outcome.MOOT] and not sent
+            core.open, core.wanted = True, False  # another copy was served meanwhile, or the client has left
+            workers.send(core.attempt())
+            await until(lambda: len(core.ended) == 3)
+        assert [o for o, _ in core.ended] == [Outcome.CONNECT_FAILED, Outcome.MOOT, Outcome.MOOT] and not sent
 
     run(case())
 
