Repeat at once a call of discovery that should open a watch and is never answered

What it misses counts as told 6 s after the silence as well; it was noticed after 3 s, but then left to the module's back-off (0.25 to 8 s).

Change: any call of a watch that is not answered in its time counts as a silent watch and is opened anew at once. A connect that fails is a failure, as before: the loop cannot spin, since each such call takes 3 s.

--- a/hazellead/platform/discovery.py
+++ b/hazellead/platform/discovery.py
@@ -32,7 +32,7 @@
 
 
 class _SilentError(Exception):
-    """An open watch has not been answered: what it should have told has to be asked for anew."""
+    """A call of a watch has not been answered: what it should have told has to be asked for anew."""
 
 
 _FAILURES = (_SilentError, RefusedError, StreamClosedError, TimeoutError, ListError)
@@ -214,8 +214,6 @@
             source.open = True
             return given
         except TimeoutError:
-            if not source.open:
-                raise
             raise _SilentError(span.total_seconds()) from None
 
     async def _fetch(self) -> None:
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -41,7 +41,7 @@
         self.calls, self.changed = list[str](), asyncio.Condition()
         self.deaf = set[asyncio.StreamWriter]()  # whose calls are never answered
         self.open = set[asyncio.StreamWriter]()
-        self.refuse = 0  # calls to come that get 503
+        self.refuse = self.ignore = 0  # calls to come that get 503, or nothing
         self.wound: Wound | None = None  # what becomes of the next answer
 
     @asynccontextmanager
@@ -73,6 +73,9 @@
             if writer in self.deaf:
                 continue
             if writer not in self.open:
+                if self.ignore:
+                    self.ignore -= 1
+                    continue
                 now = time.monotonic()
                 start = max(now, self.free)
                 if self.refuse or start - now > self.most:
@@ -217,6 +220,20 @@
     run(case())
 
 
+def test_a_call_that_should_open_a_watch_and_is_never_answered_is_repeated_at_once() -> None:
+    async def case() -> None:
+        discovery = Turns()
+        await discovery.drain()
+        async with discovery.serving() as address:
+            discovery.ignore, began = 2, time.monotonic()
+            s = Scheduler(address, SHORT, 1)
+            await until(lambda: s.drained)
+            assert s.drained - began < 2 * 0.4 + 0.2 and not s.failures
+            s.watch.close()
+
+    run(case())
+
+
 def test_a_new_process_and_a_moved_one_hear_of_a_drain_at_once_or_soon_after_refusals() -> None:
     async def case() -> None:
         former, discovery = Turns(), Turns()
