Make the watch's steps plainer, and take a call's time and the lists of tests from one place

A reading of the whole change; behaviour stays as it is. _watch has one handler for a silent watch and one for a failure, in place of nested handlers that asked for the error's kind; whether the next call continues the watch is known from the last one's answer, so dropping a connection is one step again and not written twice. fetch and fetch_grace were only ever used as their sum: one span of 3 s. Scheduler._push no longer asks what Attempt.may_send now asks. test_watch takes names, targets and lists from test_discovery.

--- a/hazellead/core/scheduler.py
+++ b/hazellead/core/scheduler.py
@@ -339,7 +339,7 @@
         request.attempts.append(attempt)
         kind = request.job.job_class
         most, copies = self.settings.attempts(kind), self.settings.copies(kind)
-        if request.reply is None or number >= most or now >= until or (out and not copies) or (
+        if number >= most or now >= until or (out and not copies) or (
                 not attempt.may_send()):
             attempt.end(api.Outcome.MOOT)
             return
--- a/hazellead/limits.py
+++ b/hazellead/limits.py
@@ -76,8 +76,7 @@
     watch_least: timedelta = _WATCH_LEAST
     watch_most: timedelta = _WATCH_FREE
     watch_grace: timedelta = timedelta(milliseconds=250)  # past the wait, for the answer to arrive
-    fetch: timedelta = timedelta(seconds=2)  # for discovery to answer a call that does not wait
-    fetch_grace: timedelta = timedelta(seconds=1)  # past that, for the answer to arrive
+    fetch: timedelta = timedelta(seconds=3)  # for a call that does not wait: 2 s for its turn, 1 s to arrive
     # Between tries where the list is due: one that discovery had no room for finds some within its 2 s.
     retry: timedelta = timedelta(milliseconds=500)
     retry_most: timedelta = timedelta(seconds=1)
--- a/hazellead/platform/discovery.py
+++ b/hazellead/platform/discovery.py
@@ -35,7 +35,7 @@
     """A call of a watch has not been answered: what it should have told has to be asked for anew."""
 
 
-_FAILURES = (_SilentError, RefusedError, StreamClosedError, TimeoutError, ListError)
+_FAILURES = (RefusedError, StreamClosedError, TimeoutError, ListError)
 
 
 class _Source:
@@ -45,12 +45,11 @@
         self.address, self.version = address, version
         self.due = due  # what it has to tell counts as told soon, whether or not it arrives
         self.stream: IOStream | None = None
-        self.open = False  # its watch has been answered, and goes on if asked again at once
+        self.answered = False  # its last call was, and the watch goes on if asked again at once
         self.task: asyncio.Task[None] | None = None
 
     def drop(self) -> None:
-        """End its connection, and with it the watch."""
-        self.open = False
+        """End its connection."""
         if self.stream:
             self.stream.close()
             self.stream = None
@@ -159,30 +158,31 @@
             while True:
                 try:
                     source.version = self._take(await self._next(source))
+                except _SilentError as error:
+                    source.drop()
+                    log.warning("watch_silent", version=source.version, waited=str(error))
+                    source.due = True  # and asked for at once
+                    continue
                 except _FAILURES as error:
                     source.drop()
-                    if isinstance(error, _SilentError):
-                        log.warning("watch_silent", version=source.version, waited=str(error))
-                        source.due = True  # and asked for at once
-                        continue
+                    # Guards against taking the end of a watch that was left for a failure of the present one.
+                    if source is not self._source:
+                        return
                     source.due |= isinstance(error, ListError)  # it was told, but cannot be read
+                    if not source.due:
+                        self._failed(error)
+                        return
                     # Guards against a failure at the one time when the list must not wait: the module's
                     # next try would come ever later.
-                    if not source.due or source is not self._source:
-                        raise
                     self._warn(error)
                     pause = min(self._limits.retry * 2 ** failures, self._limits.retry_most)
                     await asyncio.sleep(pause.total_seconds() * (0.5 + self._rng.random() / 2))
                     failures += 1
                     continue
-                source.due, failures = False, 0
+                source.answered, source.due, failures = True, False, 0
                 if source is self._source and self._former:
                     self._former.leave()
                     self._former = None
-        except _FAILURES as error:
-            # Guards against taking the end of a watch that was left for a failure of the present one.
-            if source is self._source:
-                self._failed(error)
         finally:
             source.task = None
             source.drop()
@@ -199,20 +199,18 @@
         its waits anew, evenly over a span in which discovery can answer all.
         """
         limits = self._limits
+        goes_on, source.answered = source.answered, False
         if source.stream is None or not streams.alive(source.stream):
-            if source.stream:
-                source.stream.close()
+            source.drop()
             source.stream = await streams.connect(*source.address, limits)
-        if source.open:
+        if goes_on:
             wait = limits.watch_least + (limits.watch_most - limits.watch_least) * self._rng.random()
             span = wait + limits.watch_grace
         else:
-            wait, span = streams.MS, limits.fetch + limits.fetch_grace
+            wait, span = streams.MS, limits.fetch
         query = "" if source.version is None else f"?index={source.version}&wait={wait // streams.MS}"
         try:
-            given = await within(span, self._exchange(source.stream, source.address, query))
-            source.open = True
-            return given
+            return await within(span, self._exchange(source.stream, source.address, query))
         except TimeoutError:
             raise _SilentError(span.total_seconds()) from None
 
@@ -220,8 +218,7 @@
         stream, address = None, self._source.address
         try:
             stream = await streams.connect(*address, self._limits)
-            self._take(await within(
-                self._limits.fetch + self._limits.fetch_grace, self._exchange(stream, address, "")))
+            self._take(await within(self._limits.fetch, self._exchange(stream, address, "")))
         except _FAILURES as error:
             if address == self._source.address:
                 self._failed(error)
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -11,21 +11,19 @@
 import pytest
 from loopback import http_message, run, until
 from structlog.testing import capture_logs
+from test_discovery import NAMES, listing, target
 
 from hazellead.decide import interface as api
 from hazellead.limits import Limits
-from hazellead.platform.config import Names
 from hazellead.platform.discovery import Watch
 
-NAMES = Names(("a",), (), ("a",), ("m",))
 TOLD = 6.0  # after which what a silent watch misses counts as told
 GRACE = 0.4  # for which a send may still go there
 Wound = Callable[[asyncio.StreamWriter, bytes], None]
 
 
-def listing(rev: int, state: str, *, whole: bool) -> bytes:
-    target = {"uid": "s-1", "endpoint": "127.0.0.1:80", "az": "a", "model": "m", "state": state}
-    return json.dumps({"rev": rev, "all": whole, "targets": [target]}).encode()
+def told(rev: int, state: str, *, whole: bool) -> bytes:
+    return json.dumps(listing(rev, target("s-1", state), whole=whole)).encode()
 
 
 def answer(body: bytes) -> bytes:
@@ -93,8 +91,8 @@
             if writer in self.deaf:
                 continue
             state = "up" if self.rev == 1 else "draining"
-            body = (listing(self.rev, state, whole=index < 0) if self.rev != index
-                    else json.dumps({"rev": self.rev, "all": False, "targets": []}).encode())
+            body = (told(self.rev, state, whole=index < 0) if self.rev != index
+                    else json.dumps(listing(self.rev)).encode())
             wound, self.wound = self.wound, None
             (wound or asyncio.StreamWriter.write)(writer, answer(body))
 
@@ -104,7 +102,7 @@
 
     def __init__(self, address: tuple[str, int], limits: Limits, seed: int) -> None:
         self.drained, self.failures = 0.0, 0
-        known = json.loads(listing(1, "up", whole=True))
+        known = listing(1, target("s-1"), whole=True)
         self.watch = Watch(address, NAMES, limits, known, self.told, seed)
         self.watch.subscribe()
 
@@ -136,9 +134,8 @@
 
 SHORT = replace(
     Limits(), watch_least=timedelta(milliseconds=50), watch_most=timedelta(milliseconds=100),
-    watch_grace=timedelta(milliseconds=50), fetch=timedelta(milliseconds=300),
-    fetch_grace=timedelta(milliseconds=100), retry=timedelta(milliseconds=40),
-    retry_most=timedelta(milliseconds=80))
+    watch_grace=timedelta(milliseconds=50), fetch=timedelta(milliseconds=400),
+    retry=timedelta(milliseconds=40), retry_most=timedelta(milliseconds=80))
 
 
 def half(writer: asyncio.StreamWriter, whole: bytes) -> None:
@@ -196,13 +193,13 @@
     run(case())
 
 
-@pytest.mark.parametrize(("wound", "told"), [
+@pytest.mark.parametrize(("wound", "words"), [
     (saying(b"{"), "not JSON"), (saying(b"{}"), "malformed list"),
     (saying(b'{"rev":2,"all":false,"targets":[{"uid":"s-1"}]}'), "malformed list"),
-    (saying(listing(2, "odd", whole=False)), "unknown state"),
-    (saying(listing(2, "up", whole=True).replace(b"127.0.0.1:80", b"x")), "endpoint is no address"),
+    (saying(told(2, "odd", whole=False)), "unknown state"),
+    (saying(told(2, "up", whole=True).replace(b"127.0.0.1:80", b"x")), "endpoint is no address"),
     (oversized, "list over"), (endless, ""), (half, ""), (cut, ""), (reset, "")])
-def test_a_list_that_cannot_be_read_changes_nothing_and_is_asked_for_again(wound: Wound, told: str) -> None:
+def test_a_list_that_cannot_be_read_changes_nothing_and_is_asked_for_again(wound: Wound, words: str) -> None:
     async def case() -> None:
         discovery = Turns()
         async with discovery.serving() as address:
@@ -214,7 +211,7 @@
                 await until(lambda: s.drained)
             assert number and s.watch.place(number) is not None
             (line,) = [entry for entry in logs if entry["log_level"] == "warning"]
-            assert told in line.get("reason", "")
+            assert words in line.get("reason", "")
             s.watch.close()
 
     run(case())
