Pass open jobs that would outlast a process on to the one that replaces it

With tasks of minutes every planned restart failed all that were running.

Change: core/passing.py (what a job is and who acts for it), lifecycle/passing.py (its form, and batches in three messages: jobs, jobs_ready, jobs_yours), handover and estate carry them with the client's connection. Only jobs that cannot be answered before the end pass, and only once a worker has taken what is out for them. An old process offers nothing to one that does not say takes_jobs.

--- a/hazellead/__main__.py
+++ b/hazellead/__main__.py
@@ -113,7 +113,7 @@
             from hazellead.platform import estate
 
             self.estate = estate.PlatformEstate(
-                self.life, clock, self.scheduler, self.server, self.workers, self.watch, given,
+                self.life, clock, self.scheduler, self.server, self.workers, self.watch, given, self.front,
                 lambda: listen(self.server, given.listen, given.limits.backlog), heir)
         else:
             listen(self.server, given.listen, self.limits.backlog)
@@ -242,6 +242,8 @@
         self.scheduler.end_by(now + self.limits.answer_by)
         self.drainer.start()
         by = now + self.limits.answer_by
+        if self.estate:
+            self.estate.end_by(by)
         while self.life.succeeded and self.server.connections and self.clock.now() < by:
             await asyncio.sleep(self.limits.drain_pause.total_seconds())  # they are answered, then passed on
         while not self.life.succeeded and self.takes_jobs():
--- a/hazellead/core/generations.py
+++ b/hazellead/core/generations.py
@@ -70,6 +70,30 @@
         tuple(numbers[i] for i in range(len(wanted))), tuple(tenant_numbers), frozenset(fresh))
 
 
+def keep(held: Generation, row: tuple[str, api.JobClass], tenant: str) -> tuple[Generation, int, int]:
+    """Number a class and a tenant of a job that came under other settings; raises TooManyError.
+
+    Returns the generation held, where it numbers both already, or one that does. What these settings list
+    does not change: no job from now on comes under them.
+    """
+    rows, tenant_rows, fresh = list(held.rows), list(held.tenant_rows), frozenset[int]()
+    if row not in rows:
+        rows.append(row)
+        fresh = frozenset({len(rows) - 1})
+    names = [name for name, _ in tenant_rows]
+    if tenant not in names:
+        names.append(tenant)
+        tenant_rows.append((tenant, api.Tenant(GONE)))
+    numbers = rows.index(row), names.index(tenant)
+    if (len(rows), len(tenant_rows)) == (len(held.rows), len(held.tenant_rows)):
+        return held, *numbers
+    if len(rows) > MOST or len(tenant_rows) > MOST:
+        raise TooManyError("too many classes or tenants have come and gone: start anew")
+    return replace(
+        held, settings=_merged(held.settings, rows, tenant_rows), rows=tuple(rows),
+        tenant_rows=tuple(tenant_rows), fresh=fresh), *numbers
+
+
 def _rows(settings: api.Settings, names: Sequence[str]) -> list[tuple[str, api.JobClass]]:
     """Name the classes and write into each what the settings say for all of them."""
     rules = [replace(c, max_attempts=settings.max_attempts, alone=not settings.may_duplicate)
--- a/hazellead/core/jobs.py
+++ b/hazellead/core/jobs.py
@@ -51,7 +51,7 @@
     """One push. A transport reports on it here; the first end counts and all later reports are dropped."""
 
     __slots__ = (
-        "_host", "heard", "job", "number", "outcome", "request", "sent", "started", "until", "worker")
+        "_host", "began_at", "heard", "job", "number", "outcome", "request", "sent", "until", "worker")
 
     def __init__(
         self, host: "AttemptHost", request: int, number: int, worker: int, job: Job,
@@ -62,7 +62,7 @@
         self.sent, self.until = sent, until
         self.outcome: api.Outcome | None = None
         self.heard = False  # its worker has reported on it
-        self.started = False  # and that it is at it
+        self.began_at: datetime | None = None  # and, from then on, that it is at it
 
     def may_send(self) -> bool:
         """Say whether its first byte may go out now.
@@ -79,7 +79,6 @@
     def began(self) -> None:
         """Report that the worker is at it."""
         if self.outcome is None:
-            self.started = True
             self._host.attempt_began(self)
 
     def progressed(self, share: float) -> None:
--- a/hazellead/core/scheduler.py
+++ b/hazellead/core/scheduler.py
@@ -10,7 +10,7 @@
 from tornado.ioloop import IOLoop
 
 from hazellead.core import generations
-from hazellead.core.clock import Clock, span, to_us
+from hazellead.core.clock import EPOCH, Clock, span, to_us
 from hazellead.core.jobs import Attempt, ClientReply, Counted, Job, Tally, WorkerDirectory, WorkerTransport
 from hazellead.decide import interface as api
 from hazellead.decide.choice import Dispatcher
@@ -27,10 +27,12 @@
     number: int
     job: Job
     until: datetime  # when the scheduler stops waiting
+    deadline: datetime  # when it would, were it not for its own end
     reply: ClientReply | None  # None once answered, or when nobody waits any more
     attempts: list[Attempt] = field(default_factory=list)
     timer: object = None
     orphaned: bool = False  # nobody waits at present, though one may come back for the answer
+    parked: bool = False  # on its way to another process: nothing is begun or ended here
 
 
 class Scheduler:
@@ -56,6 +58,7 @@
         self._elsewhere: dict[int, tuple[int, int]] = {}
         self._emptied: Callable[[], None] | None = None
         self._end: datetime | None = None  # by when all is answered, once the end has been called
+        self.passes_on = False  # another process takes over what would outlast that
         self._transport: WorkerTransport
         self._directory: WorkerDirectory
 
@@ -126,18 +129,24 @@
         if job.identity in self._identities:
             # Guards against posting twice: the same id again may concern a job that runs at this moment.
             reply.failed("this id is being worked on")
-        elif len(self._requests) >= self.limits.requests or self._end and self._clock.now() >= self._end:
+        elif self.room <= 0 or self._end and self._clock.now() >= self._end:
             reply.refused(self.limits.busy_retry)
         else:
-            remaining = max(job.remaining - self.limits.answer_margin, timedelta(0))
-            request = _Request(self._count, job, self._clock.now() + remaining, reply)
-            request.timer = self._loop.add_timeout(remaining, self._expire, request)
-            self._bound(request)
-            self._requests[request.number] = request
-            self._identities.add(job.identity)
-            self._put(api.Arrival(request.number, job.job_class, to_us(remaining), job.tenant, job.slots))
+            self._take(job, reply, max(job.remaining - self.limits.answer_margin, timedelta(0)))
         return self._count
 
+    def _take(self, job: Job, reply: ClientReply, left: timedelta, attempts: Sequence[Attempt] = ()) -> None:
+        deadline = self._clock.now() + left
+        request = _Request(self._count, job, deadline, deadline, reply, list(attempts))
+        request.timer = self._loop.add_timeout(left, self._expire, request)
+        self._bound(request)
+        self._requests[request.number] = request
+        self._identities.add(job.identity)
+        made = tuple(api.Made(a.worker, to_us(a.sent - EPOCH), to_us(a.began_at - EPOCH) if a.began_at else 0,
+                              a.outcome) for a in attempts)
+        self._put(api.Arrival(
+            request.number, job.job_class, to_us(left), job.tenant, job.slots, made=made))
+
     def abandon(self, number: int) -> None:
         """Note that the client has gone; the module decides what becomes of an attempt that is out."""
         request = self._requests.get(number)
@@ -157,6 +166,59 @@
         if request := self._requests.get(number):
             request.orphaned = False
 
+    # Between two processes, of which one takes the other's place. core/passing.py has the steps.
+
+    def waited_for(self, number: int) -> "tuple[Job, datetime, Sequence[Attempt]] | None":
+        """Return a job, when its client gives up (less the margin) and its attempts.
+
+        None if it is answered, parked, or waited for by nobody.
+        """
+        request = self._requests.get(number)
+        if request is None or request.reply is None or request.orphaned or request.parked:
+            return None
+        return request.job, request.deadline, request.attempts
+
+    def attempts(self, number: int) -> Sequence[Attempt]:
+        """Return the attempts made for a job that is held."""
+        return self._requests[number].attempts if number in self._requests else ()
+
+    def park(self, number: int, *, on: bool) -> None:
+        """Begin and end nothing of a job while another process is asked to take it, or go on with it."""
+        if request := self._requests.get(number):
+            request.parked = on
+            if not on and self._clock.now() >= request.until:  # its time ran out meanwhile
+                (self._cut if request.until < request.deadline else self._expire)(request)
+
+    def part(self, number: int) -> None:
+        """Forget a job that another process has taken, with its attempts; its id stays used here."""
+        if request := self._requests.get(number):
+            request.reply = None
+            for attempt in request.attempts:
+                if attempt.outcome is None:
+                    attempt.outcome = api.Outcome.MOOT
+                    self._put(api.AttemptEnded(
+                        number, attempt.number, attempt.worker, api.Outcome.MOOT, 0, complete=True))
+            self._forget(request)
+
+    @property
+    def room(self) -> int:
+        """Return how many more requests may be held."""
+        return self.limits.requests - len(self._requests)
+
+    def adopt(
+        self, job: Job, reply: ClientReply, left: timedelta, attempts: Callable[[int], Sequence[Attempt]],
+    ) -> int:
+        """Take in a job that another process had, with the attempts made for it; return its number."""
+        self._count += 1
+        self._ended.pop(job.identity, None)
+        own = attempts(self._count)
+        self._take(job, self._counted(job, reply), left, own)
+        for attempt in own:
+            if attempt.outcome is None and attempt.until < self._requests[self._count].until:
+                self._loop.add_timeout(
+                    attempt.until - self._clock.now(), self._stop, attempt, api.Outcome.TIMED_OUT)
+        return self._count
+
     def _end_orphan(self, request: _Request) -> None:
         """Give one up of which no attempt is out."""
         if not any(a.outcome is None for a in request.attempts):
@@ -188,6 +250,8 @@
 
     def _cut(self, request: _Request) -> None:
         """Answer a request before its deadline."""
+        if request.parked:
+            return
         for attempt in request.attempts:
             self._stop(attempt, api.Outcome.TIMED_OUT)
         self._give_up(request, "the scheduler ends")
@@ -212,7 +276,8 @@
     def may_begin(self, attempt: Attempt) -> bool:
         """Say whether an attempt's first byte may go out now."""
         request = self._requests.get(attempt.request)
-        waited_for = request is not None and request.reply is not None and not request.orphaned
+        waited_for = request is not None and request.reply is not None and not (
+            request.orphaned or request.parked)
         return waited_for and self.open_to_work(attempt.worker) and self._may_repeat(attempt)
 
     def _may_repeat(self, attempt: Attempt) -> bool:
@@ -256,7 +321,7 @@
         out = dict[int, tuple[int, int]]()
         for attempt in (a for r in self._requests.values() for a in r.attempts if a.outcome is None):
             held, waiting = out.get(attempt.worker, (0, 0))
-            out[attempt.worker] = held + 1, waiting + (not attempt.started)
+            out[attempt.worker] = held + 1, waiting + (attempt.began_at is None)
         return out
 
     def elsewhere(self, out: dict[int, tuple[int, int]]) -> None:
@@ -275,6 +340,7 @@
 
     def attempt_began(self, attempt: Attempt) -> None:
         """Pass a start on to the module and the client."""
+        attempt.began_at = attempt.began_at or self._clock.now()
         self._put(api.JobBegan(attempt.request, attempt.number, attempt.worker))
         if reply := self._requests[attempt.request].reply:
             reply.began()
@@ -364,7 +430,8 @@
         if request is None:  # the module owes this never to happen, and the table no longer has the job
             self._put(api.AttemptEnded(action.request, 0, action.worker, api.Outcome.MOOT, 0, True))
             return
-        until = request.until
+        # One that goes to the next process must not be told to end with this one.
+        until = request.deadline if self.passes_on else request.until
         if action.timeout_us:
             until = min(until, now + span(action.timeout_us))
         number = len(request.attempts)
@@ -388,6 +455,8 @@
 
     def _expire(self, request: _Request) -> None:
         """End what is still out at the deadline; the module answers in the same step."""
+        if request.parked:
+            return
         for attempt in request.attempts:
             self._stop(attempt, api.Outcome.TIMED_OUT)
         if request.reply:
--- a/hazellead/decide/choice.py
+++ b/hazellead/decide/choice.py
@@ -239,8 +239,8 @@
         self._size()
 
     def _arrive(self, event: api.Arrival) -> None:
-        s, number = self.settings, min(event.tenant, len(self.tenants) - 1)
-        tenant = self.tenants[number]
+        s, at = self.settings, min(event.tenant, len(self.tenants) - 1)
+        tenant = self.tenants[at]
         self.probes = min(self.probes + PROBE_SPEND / max(s.probe_price, PROBE_SPEND / 10), 100.0)
         # A client's later tries have less time left: its aim runs from the first, and may be over already.
         whole = self.whole[event.job_class] = max(self.whole[event.job_class], event.remaining_us)
@@ -250,16 +250,19 @@
         useful = last = min(useful, deadline - 2 * s.tick_us)
         if s.classes[event.job_class].late_worth > 0:
             last = max(useful, deadline - int(RESERVE * self.run_us[event.job_class]))
-        request = Request(event.request, event.job_class, event.slots, number, self.now, useful, last,
-                          event.hint_us)
-        if last > self.now and tenant.throttle.offer(event.slots):
-            self.requests[event.request] = request
-            tenant.held.append(request)
+        r = Request(event.request, event.job_class, event.slots, at, self.now, useful, last, event.hint_us)
+        if event.made:  # the process whose place ours has taken has let it in
+            for w in (self.workers[m.worker] for m in event.made if m.worker in self.workers):
+                self._touch(w)
+            self.requests[r.id] = r
+            self.flying |= r.adopt(event.made, self.workers, self.now, self.slots)
+        elif last > self.now and tenant.throttle.offer(event.slots):
+            self.requests[r.id] = r
+            tenant.held.append(r)
             self.lates = min(self.lates + LATE_SHARE, LATE_MOST)
         else:
-            self._answer(request)
-        if tenant.throttle.tokens <= 0:
-            self.bound_at = self.now
+            self._answer(r)
+        self.bound_at = self.now if tenant.throttle.tokens <= 0 else self.bound_at
 
     def _defer(self, r: Request) -> None:
         """Let a held job out of slack wait for what jobs in time leave, as few may, or refuse it."""
@@ -320,8 +323,7 @@
 
         seen = set[Request]()
         while heads := {
-            r for r in (*self.again, *self.late[:1], *(t.paid() for t in self.tenants)) if r
-        } - seen:
+            r for r in (*self.again, *self.late[:1], *(t.paid() for t in self.tenants)) if r} - seen:
             r = min(heads, key=turn)
             seen.add(r)
             if worker := self._pick(r):
@@ -371,8 +373,7 @@
             (w, free) for w in some
             if (free := self._free(w, blind)) >= r.slots - 0.5 and w.entry.worker not in tried
             and kind in (-1, w.entry.kind) and self._may_join(r, tied, w)
-            and (self._usable(w, limit) if w.known else self._meet(w, r)) and self._cold_room(w)
-        ]
+            and (self._usable(w, limit) if w.known else self._meet(w, r)) and self._cold_room(w)]
 
     def _look(self, pool: list[Worker]) -> bool:
         """Probe a few workers for a job that waits; says whether answers are still awaited."""
@@ -662,9 +663,8 @@
         self._drop(r.id)
 
     def _abandoned(self, event: api.Abandoned) -> None:  # work that nobody waits for is wasted
-        attempts = r.attempts if (r := self.requests.get(event.request)) else []
-        if self.settings.may_cancel:
-            self.out += [api.Cancel(event.request, n) for n, a in enumerate(attempts) if not a.outcome]
+        if self.settings.may_cancel and (r := self.requests.get(event.request)):
+            self.out += [api.Cancel(r.id, n) for n, a in enumerate(r.attempts) if not a.outcome]
         self._drop(event.request)
 
     def _drop(self, request: int) -> None:
--- a/hazellead/decide/interface.py
+++ b/hazellead/decide/interface.py
@@ -175,9 +175,23 @@
     entries: tuple[WorkerEntry, ...] = ()
 
 
+@dataclass(slots=True, frozen=True)
+class Made:
+    """An attempt that the process before this one has made; ``began_us`` 0: no start has been reported."""
+
+    worker: int
+    sent_us: int
+    began_us: int = 0
+    outcome: Outcome | None = None
+
+
 @dataclass(slots=True, frozen=True)
 class Arrival:
-    """A request has come in; one final answer is owed within ``remaining_us``."""
+    """A request has come in; one final answer is owed within ``remaining_us``.
+
+    One that another process of this dispatcher has passed on comes with the attempts ``made``, one of which
+    is out at least; they count from 0 as pushes do, and an ``AttemptEnded`` is owed for each that is out.
+    """
 
     request: int
     job_class: int
@@ -185,6 +199,7 @@
     tenant: int = 0
     slots: float = 1.0
     hint_us: int = 0
+    made: tuple[Made, ...] = ()
 
 
 @dataclass(slots=True, frozen=True)
--- a/hazellead/decide/records.py
+++ b/hazellead/decide/records.py
@@ -1,5 +1,6 @@
 """What a dispatcher keeps of each attempt, request and worker. Plain data; the decisions are in choice.py."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -73,6 +74,23 @@
         """Return the attempts that may have run or may still run."""
         return [a for a in self.attempts if a.outcome not in api.NEVER_RAN]
 
+    def adopt(
+        self, made: Sequence[api.Made], workers: "dict[int, Worker]", now: int, slots: float,
+    ) -> "dict[tuple[int, int], Attempt]":
+        """Take over the attempts that another process has made; return those that are out.
+
+        A worker that no list has named here may have one; it is held to be gone.
+        """
+        self.attempts = [Attempt(self, m.worker, m.sent_us, False, 1, m.began_us, m.outcome) for m in made]
+        out = {(self.id, n): a for n, a in enumerate(self.attempts) if a.outcome is None}
+        for key, attempt in out.items():
+            gone = api.WorkerEntry(attempt.worker, phase=api.Phase.GONE)
+            w = workers.setdefault(attempt.worker, Worker(gone, now, 0, now, known=False, slots=slots))
+            w.held += self.slots
+            if not attempt.began:
+                w.unstarted.add(key)
+        return out
+
 
 @dataclass(slots=True, eq=False)
 class Attempt:
--- a/hazellead/lifecycle/handover.py
+++ b/hazellead/lifecycle/handover.py
@@ -21,6 +21,7 @@
 from hazellead.lifecycle import channel
 from hazellead.lifecycle.channel import Channel
 from hazellead.lifecycle.messages import MOST_DESCRIPTORS, VERSION, Message, MessageError
+from hazellead.lifecycle.passing import Batches, PassedJob
 from hazellead.net.server import Detached
 
 log = structlog.get_logger()
@@ -39,6 +40,7 @@
     move: timedelta = timedelta(milliseconds=20)  # between looks for connections that can be passed on
     written: timedelta = timedelta(milliseconds=500)  # for the last messages of one that ends
     call_back: timedelta = timedelta(seconds=1)  # for a call-back passed on to be answered
+    jobs: timedelta = timedelta(milliseconds=500)  # for the new process's word on a batch of jobs
 
 
 STEPS = Steps()
@@ -78,8 +80,13 @@
 class Neighbour(Protocol):
     """What either process does for the other."""
 
-    def take_call_back(self, identity: str, sender: str, state: str, rest: Any) -> None:
-        """Take in a call-back that reached the other process; raises MessageError if it is malformed."""
+    def take_call_back(
+        self, identity: str, sender: str, state: str, rest: Any,
+    ) -> "asyncio.Future[int] | None":
+        """Take in a call-back that reached the other process; raises MessageError if it is malformed.
+
+        The future gives the answer; None: 200, at once.
+        """
 
     def adopt(self, given: Detached) -> None:
         """Serve a connection from now on."""
@@ -87,6 +94,21 @@
     def other_holds(self, holds: Holds) -> None:
         """Leave room for what the other process still has open, and heed what it has at workers."""
 
+    def offered(self, number: int, jobs: Sequence[tuple[PassedJob, socket.socket]]) -> list[str]:
+        """Hold jobs of the other process still, and return the ids of those that could be gone on with here.
+
+        The sockets of the others are closed, as are those of an earlier batch that was not decided.
+        """
+
+    def decided(self, number: int, identities: Sequence[str]) -> None:
+        """Go on with these of a batch that was offered; the others stay with the other process."""
+
+    def read_job(self, body: Any) -> PassedJob:
+        """Read a job within this process's bounds; raises MessageError."""
+
+    def parted(self) -> None:
+        """Settle what was passing: there is no other process any more."""
+
 
 class Estate(Neighbour, Protocol):
     """What the old process leaves."""
@@ -106,6 +128,18 @@
     def holds(self) -> Holds:
         """Return what is still open here."""
 
+    def successor_takes(self) -> None:
+        """Note that the other process can go on with open jobs."""
+
+    def passable(self, most: int) -> list[tuple[PassedJob, socket.socket]]:
+        """Park some jobs that would outlast this process; the sockets are copies."""
+
+    def passed(self, identities: Sequence[str], *, refused: bool) -> None:
+        """Forget these of the parked jobs, which the other process now has, and go on with the others.
+
+        Where it has ``refused`` those, they are not offered again.
+        """
+
 
 class Link:
     """A channel between two processes that serve, whichever of them is the older."""
@@ -154,8 +188,12 @@
         if message.kind == "call_back":
             number = message.number("number")
             identity, sender, state = (message.text(key) for key in ("id", "sender", "state"))
-            self.neighbour.take_call_back(identity, sender, state, message.body.get("rest"))
-            self._send("answered", number=number, status=200)
+            answer = self.neighbour.take_call_back(identity, sender, state, message.body.get("rest"))
+            if answer is None:
+                self._send("answered", number=number, status=200)
+            else:
+                answer.add_done_callback(lambda status: self._send(
+                    "answered", number=number, status=status.result()))
         elif message.kind == "answered":
             self._answer(message.number("number"), message.number("status"))
         elif message.kind == "left":
@@ -178,6 +216,7 @@
         """Settle what the other process will not answer any more: its jobs have ended with it."""
         for number in list(self._asked):
             self._answer(number, 200)
+        self.neighbour.parted()
         self.neighbour.other_holds(Holds())
 
 
@@ -197,7 +236,8 @@
         self._path, self._listen, self._estate = path, listen, estate
         self._socket: socket.socket | None = None
         self._step, self._clock = _Step.ALONE, 0  # the second counts steps: earlier ones' limits are void
-        self._final = False
+        self._final = self._takes = False  # the second: the successor can go on with open jobs
+        self._batches = Batches[str]()
 
     @property
     def joined(self) -> bool:
@@ -269,7 +309,11 @@
             self._step = _Step.SUCCEEDED
             self.stop()
             log.info("handed_over")
+            if self._takes:
+                self._estate.successor_takes()
             self._tick()
+        elif step is _Step.SUCCEEDED and message.kind == "jobs_ready":
+            self._decide(message.number("number"), message.texts("ids"))
         elif step is not _Step.SUCCEEDED or not self.follow(message, sockets):
             for sock in sockets:
                 sock.close()
@@ -284,15 +328,41 @@
             self._send("no", why=offer, again=True)
             return
         sockets, body = offer
-        self._step = _Step.OFFERED
+        self._step, self._takes = _Step.OFFERED, message.body.get("takes_jobs") is True
         self._limit(STEPS.build)
         self._send("offer", sockets, version=VERSION, **body)
 
     def _tick(self) -> None:
         if self._step is _Step.SUCCEEDED and self.channel:
             self._move(self.channel)
+            self._pass_jobs()
             asyncio.get_running_loop().call_later(STEPS.move.total_seconds(), self._tick)
 
+    def _pass_jobs(self) -> None:
+        """Offer some jobs, one batch at a time: what is parked is bounded, and so is what lies unread."""
+        channel = self.channel
+        if not self._takes or self._batches.busy or channel is None or channel.waiting >= MOVED_AHEAD:
+            return
+        if some := self._estate.passable(MOST_DESCRIPTORS):
+            self._batches.begin({p.job.job.identity: p.job.job.identity for p, _ in some})
+            number = self._batches.number
+            asyncio.get_running_loop().call_later(STEPS.jobs.total_seconds(), self._decide, number, None)
+            self._send("jobs", [sock for _, sock in some], number=number, jobs=[p.body() for p, _ in some])
+
+    def _decide(self, number: int, ready: Sequence[str] | None) -> None:
+        """Part with the jobs of a batch that the other is ready for; None: its word has not come in time.
+
+        Guards against both acting for one job: what is not parted with here must not be begun there, so the
+        other is told that as well, behind the batch that it may still have to read.
+        """
+        if number != self._batches.number or not self._batches.busy:
+            return
+        yours, _ = self._batches.settle(number, ready or ())
+        self._send("jobs_yours", number=number, ids=yours)
+        self._estate.passed(yours, refused=ready is not None)
+        if ready is not None:
+            self._pass_jobs()
+
     def _move(self, channel: Channel) -> None:
         """Pass on what can be at this moment."""
         self._send("left", **self._estate.holds().body())
@@ -307,6 +377,8 @@
     def _over(self, reason: str) -> None:
         step, self._step, self.channel = self._step, _Step.ALONE, None
         self._clock += 1
+        self._batches.void()
+        self._takes = False
         self.ended()
         if self._final:
             return
@@ -356,7 +428,7 @@
             except OSError:
                 return False  # none there, a file that nobody listens at, or no such sockets here
             self.channel = Channel(sock, self._take, self._over)
-            self._send("hello", version=VERSION, listen=listen)
+            self._send("hello", version=VERSION, listen=listen, takes_jobs=True)
             try:
                 answer = await self._next(STEPS.offer, "an offer")
             except BrokenOffError:  # it ends, or has another at its door
@@ -406,6 +478,20 @@
         if self._waiting and not self._waiting.done():
             self.sockets += sockets
             self._waiting.set_result(message)
+        elif self._serving and message.kind == "jobs":
+            try:
+                number, jobs = message.number("number"), message.body.get("jobs")
+                if not isinstance(jobs, list) or not 0 < len(jobs) == len(sockets):
+                    raise MessageError("jobs do not match their descriptors")
+                read = [self.neighbour.read_job(body) for body in jobs]
+            except MessageError:
+                for sock in sockets:
+                    sock.close()
+                raise
+            self._send("jobs_ready", number=number, ids=self.neighbour.offered(
+                number, list(zip(read, sockets, strict=True))))
+        elif self._serving and message.kind == "jobs_yours":
+            self.neighbour.decided(message.number("number"), message.texts("ids"))
         elif not self._serving or not self.follow(message, sockets):
             for sock in sockets:
                 sock.close()
@@ -425,6 +511,22 @@
     def take_call_back(self, identity: str, sender: str, state: str, rest: Any) -> None:
         """Pass over."""
 
+    def read_job(self, body: Any) -> PassedJob:
+        """Take none."""
+        raise MessageError("jobs out of turn")
+
+    def offered(self, number: int, jobs: Sequence[tuple[PassedJob, socket.socket]]) -> list[str]:
+        """Take none."""
+        for _, sock in jobs:
+            sock.close()
+        return []
+
+    def decided(self, number: int, identities: Sequence[str]) -> None:
+        """Pass over."""
+
+    def parted(self) -> None:
+        """Pass over."""
+
     def adopt(self, given: Detached) -> None:
         """Close."""
         given.sock.close()
--- a/hazellead/net/server.py
+++ b/hazellead/net/server.py
@@ -29,13 +29,14 @@
 class Exchange:
     """One request and the way to answer it. ``on_gone`` is called if the client leaves before the answer."""
 
-    __slots__ = ("answer", "lasting", "message", "on_gone")
+    __slots__ = ("answer", "job", "lasting", "message", "on_gone")
 
     def __init__(self, message: Message) -> None:
         """Start unanswered."""
         self.message = message
         self.answer: asyncio.Future[tuple[int, bytes, dict[str, str]]] = asyncio.Future()
         self.on_gone: Callable[[], None] | None = None
+        self.job: int | None = None  # the number of the job that it became
         self.lasting = False  # not a client's: its connection stays while clients' are ended
 
     def respond(self, status: int, body: bytes = b"", headers: dict[str, str] | None = None) -> None:
@@ -85,6 +86,9 @@
     async def run(self) -> None:
         """Serve until either side ends the connection."""
         try:
+            # One that another process has passed on may have its request in hand.
+            if self.exchange and (not await self._finish(self.exchange) or self.closing):
+                return
             while message := await self._message():
                 if not await self._serve(message) or self.closing:
                     break
@@ -159,6 +163,10 @@
         self.exchange = exchange = Exchange(message)
         self.turn(State.IN_HAND)
         self._server.handler(exchange)
+        return await self._finish(exchange)
+
+    async def _finish(self, exchange: Exchange) -> bool:
+        """Answer the request in hand; say whether the connection may carry another."""
         # Reading goes on so that a client's leaving is noticed.
         while not exchange.answer.done():
             self._reading = self._reading or self._begin_read()
@@ -168,6 +176,7 @@
                 await self._read()
         status, body, headers = await exchange.answer
         self.exchange = None
+        message = exchange.message
         self.lasting = exchange.lasting
         ends = self._server.ends() and not self.lasting
         keep = message.keep and not self.closing and not ends and status not in UNUSABLE
@@ -187,10 +196,28 @@
     def detach(self) -> "Detached | None":
         """Give the connection up, open, with what has been read of the next request; None if that cannot be.
 
-        A request whose head has been taken apart stays until it is answered.
+        A request whose head has been taken apart stays until it is answered, or is passed with its job.
+        """
+        between = self.state in (State.SILENT, State.RESTING, State.SENDING)
+        return self._part() if between and self.exchange is None else None
+
+    def detach_with_job(self) -> "Detached | None":
+        """Give the connection up while its request is in hand; None if that cannot be at this moment.
+
+        Whoever takes it owes the answer. Guards against a client whose leaving, or whose next bytes, are
+        already here: these are heeded first.
         """
-        reading, between = self._reading, self.state in (State.SILENT, State.RESTING, State.SENDING)
-        if not between or self.exchange or self._ended or self.closing or self._stream.writing() or (
+        exchange = self.exchange
+        if exchange is None or self.state is not State.IN_HAND or exchange.answer.done():
+            return None
+        if not alive(self._stream) or not (given := self._part(exchange)):
+            return None
+        self.exchange = None  # its end here is no leave of its client's
+        return given
+
+    def _part(self, exchange: "Exchange | None" = None) -> "Detached | None":
+        reading = self._reading
+        if self._ended or self.closing or self._stream.writing() or (
                 reading is None or reading.done() or self._parser.unread is None):
             return None
         try:
@@ -200,13 +227,16 @@
         read = self._parser.unread
         self._ended = True
         self._stream.close()  # only our descriptor of it
-        return Detached(sock, read, self.proven, self.lasting)
+        return Detached(sock, read, self.proven, self.lasting, exchange)
 
     def resume(self, given: "Detached") -> None:
         """Go on where another process left off."""
         self.proven, self.lasting = given.proven, given.lasting
         self._parser.feed(given.read)
-        if given.proven and not given.read:
+        if given.exchange:
+            self.exchange = given.exchange
+            self.turn(State.IN_HAND)
+        elif given.proven and not given.read:
             self.turn(State.RESTING)
 
     def turn(self, state: "State") -> None:
@@ -274,12 +304,13 @@
 
 @dataclass(slots=True, frozen=True)
 class Detached:
-    """A connection with no request in hand, on its way to another process."""
+    """A connection on its way to another process."""
 
     sock: socket.socket
     read: bytes  # what has come of the next request
     proven: bool
     lasting: bool
+    exchange: Exchange | None = None  # the request in hand, where its job goes with it
 
 
 class HttpServer(Listener):
--- a/hazellead/platform/clients.py
+++ b/hazellead/platform/clients.py
@@ -23,12 +23,13 @@
 _ID = re.compile(r"[0-9A-Za-z._~-]{1,128}\Z")  # it becomes a part of a path
 
 
-class _Reply:
+class Reply:
     """Answers one HTTP client; starts and progress have no place in its protocol."""
 
     __slots__ = ("_exchange",)
 
     def __init__(self, exchange: Exchange) -> None:
+        """Answer this request."""
         self._exchange = exchange
 
     def served(self, result: bytes) -> None:
@@ -107,10 +108,13 @@
         self._need(method, "POST")
         job = self._job(exchange, target, at)
         if not self._takes_jobs():
-            self._scheduler.refuse(job, _Reply(exchange))
+            self._scheduler.refuse(job, Reply(exchange))
             return
-        number = self._scheduler.submit(job, _Reply(exchange))
-        exchange.on_gone = lambda: self._scheduler.abandon(number)
+        self.follow(exchange, self._scheduler.submit(job, Reply(exchange)))
+
+    def follow(self, exchange: Exchange, number: int) -> None:
+        """Tie a request to the job that it has become."""
+        exchange.job, exchange.on_gone = number, lambda: self._scheduler.abandon(number)
 
     def _job(self, exchange: Exchange, target: str, at: int) -> Job:
         headers = exchange.message.headers
--- a/hazellead/platform/workers.py
+++ b/hazellead/platform/workers.py
@@ -197,6 +197,32 @@
         elif place := self._places.place(attempt.worker):
             self._aside(self._delete(place, attempt.job.identity))
 
+    # Attempts that go from one process of a scheduler to the next.
+
+    def taken(self, attempt: Attempt) -> bool:
+        """Say whether its 202 has come, so that all that is still to come of it are call-backs."""
+        return attempt not in self.tasks and attempt.outcome is None
+
+    def leave(self, attempt: Attempt) -> None:
+        """Wait no longer for one that another process now owns."""
+        if place := self._places.place(attempt.worker):
+            self._out.pop((attempt.job.identity, place.uid), None)
+
+    def adopt(self, attempt: Attempt) -> None:
+        """Wait for one that another process has sent; one handed back stays so."""
+        place = self._places.place(attempt.worker)
+        assert place
+        key = (attempt.job.identity, place.uid)
+        if attempt.outcome is None:
+            attempt.heard, self._out[key] = True, attempt
+        elif attempt.outcome is Outcome.FULL:
+            self._hand_back(key)
+
+    def _hand_back(self, key: tuple[str, str]) -> None:
+        self._returned[key] = None
+        if len(self._returned) > self._limits.returned:
+            self._returned.popitem(last=False)
+
     def probe(self, worker: int, done: Callable[[Outcome], None]) -> None:
         """Ask a worker whether it lives."""
         self._aside(self._probe(worker, done))
@@ -224,9 +250,7 @@
             self._end(attempt, Outcome.SERVED, rest.encode(errors="surrogatepass"))
         elif state in _STATES:
             if state == "returned":
-                self._returned[identity, sender] = None
-                if len(self._returned) > self._limits.returned:
-                    self._returned.popitem(last=False)
+                self._hand_back((identity, sender))
             self._end(attempt, _STATES[state])
 
     def _end(self, attempt: Attempt, outcome: Outcome, result: bytes = b"") -> None:
