--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -308,10 +308,10 @@
 
 @site_test
 async def test_what_is_under_way_at_once_is_bounded_in_jobs_and_in_bytes(site: Site) -> None:
-    old = await site.start()
+    old, clients = await site.start(), list[Client]()
     for i in range(40):
         body = b"%d" % i + b"x" * 60_000 * (i < 20)
-        await Client(site.port).ask(f"n{i}", body)
+        clients.append(await Client(site.port).ask(f"n{i}", body))
         await until(lambda body=body: site.postings[body])
         await asyncio.sleep(0.02)  # for its start: nothing is sent behind a job that waits for one
     partner = await Partner(site).take_over()
