Ask a watch that answers without waiting ten times a second at most

test_a_discovery_that_tells_nothing_but_older_lists_counts_again failed now and then with up to 27 calls where fewer than 25 are wanted. The watch asked too often.

Now the calls of a watch that tells nothing newer start at least 100 ms apart, so that the next one still continues the watch (200 ms). A new test holds the pace for both such discoveries, and that a drain is heard of all the same; it fails on the program before.

--- a/hazellead/limits.py
+++ b/hazellead/limits.py
@@ -81,6 +81,9 @@
     watch_least: timedelta = timedelta(seconds=1)
     watch_most: timedelta = timedelta(seconds=3)
     watch_grace: timedelta = timedelta(milliseconds=250)  # past the wait, for the answer to arrive
+    # Between the starts of two calls of a watch, where the first told nothing newer: discovery may answer it
+    # without waiting. Under the 200 ms for which a watch goes on after an answer.
+    watch_pace: timedelta = timedelta(milliseconds=100)
     fetch: timedelta = timedelta(seconds=3)  # for a call that does not wait: 2 s for its turn, 1 s to arrive
     # Between a failed call and the next: one that discovery had no room for finds some within its 2 s.
     retry: timedelta = timedelta(milliseconds=500)
--- a/hazellead/platform/discovery.py
+++ b/hazellead/platform/discovery.py
@@ -6,7 +6,7 @@
 import sys
 from collections.abc import Callable, Iterable
 from dataclasses import replace
-from datetime import datetime
+from datetime import datetime, timedelta
 from typing import Any
 
 import structlog
@@ -48,6 +48,7 @@
         self.address, self.version = address, version
         self.connection: ClientConnection | None = None
         self.answered = False  # its last call was, and the watch goes on if asked again at once
+        self.asked: datetime | None = None  # when its last call was made, if that continued a watch
         self.task: asyncio.Task[None] | None = None
         self.failures, self.reason = 0, ""  # since it last told a list; the last reason that was logged
         self.failing: datetime | None = None  # since when
@@ -177,6 +178,7 @@
         """
         try:
             while True:
+                held = source.version
                 try:
                     given = await self._next(source)
                     # Guards against the answer of a former discovery after the present one has told its list.
@@ -203,10 +205,24 @@
                 if source is self._source and self._former:
                     self._former.leave()
                     self._former = None
+                if source.version == held:
+                    await self._pace(source)
         finally:
             source.task = None
             source.drop()
 
+    async def _pace(self, source: _Source) -> None:
+        """Wait until a watch that told nothing newer may be asked again.
+
+        Guards discovery, the processor and the module against answers that do not wait, though nothing newer
+        is there: each would be followed at once by a call, and where it repeats a list by reading that again.
+        The next call still comes within the 200 ms for which the watch goes on.
+        """
+        if source.asked:
+            rest = self._limits.watch_pace - (self._clock.now() - source.asked)
+            if rest > timedelta(0):
+                await asyncio.sleep(rest.total_seconds())
+
     def _failing(self, source: _Source, error: Exception) -> None:
         """Note a failed call; one that fails as the one before did is not logged again."""
         reason = _reason(error)
@@ -243,6 +259,7 @@
             span = wait + limits.watch_grace
         else:
             wait, span = streams.MS, limits.fetch
+        source.asked = self._clock.now() if goes_on else None
         query = "" if source.version is None else f"?index={source.version}&wait={wait // streams.MS}"
         try:
             return await within(span, self._exchange(source.connection, source.address, query))
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -43,6 +43,7 @@
         self.wound: Wound | None = None  # what becomes of the next answer
         self.resets = 0  # calls to come that end in a reset
         self.stale = False  # it tells its list whatever was asked for
+        self.hasty = False  # it waits for no change
         self.state = ""  # of the one worker; else it drains once the version is over 1
         self.server: asyncio.Server | None = None
         self.writers = set[asyncio.StreamWriter]()
@@ -110,7 +111,7 @@
             async with self.changed:
                 try:
                     await asyncio.wait_for(self.changed.wait_for(
-                        lambda i=index: self.rev != i or self.stale), wait)
+                        lambda i=index: self.rev != i or self.stale or self.hasty), wait)
                 except TimeoutError:
                     pass
             if writer in self.deaf:
@@ -159,8 +160,9 @@
 
 SHORT = replace(
     Limits(), watch_least=timedelta(milliseconds=50), watch_most=timedelta(milliseconds=100),
-    watch_grace=timedelta(milliseconds=50), fetch=timedelta(milliseconds=400),
-    retry=timedelta(milliseconds=40), retry_most=timedelta(milliseconds=80))
+    watch_grace=timedelta(milliseconds=50), watch_pace=timedelta(milliseconds=20),
+    fetch=timedelta(milliseconds=400), retry=timedelta(milliseconds=40),
+    retry_most=timedelta(milliseconds=80))
 
 
 def half(writer: asyncio.StreamWriter, whole: bytes) -> None:
@@ -299,6 +301,7 @@
     for limits in (Limits(), Limits.fit(256, 32, 100, timedelta(seconds=0.5), timedelta(seconds=5))):
         given_up = limits.watch_most + limits.watch_grace
         assert given_up + limits.retry + turn < timedelta(seconds=TOLD)
+        assert limits.watch_pace < timedelta(milliseconds=200)  # the next call continues the watch
         assert limits.fetch + turn < timedelta(seconds=TOLD)  # one call unanswered, then one that is
         # Any number of failures: from the return the longest pause, one refusal and its turn.
         assert limits.retry_most + limits.connect + limits.retry + turn < timedelta(seconds=TOLD)
@@ -338,6 +341,29 @@
     run(case())
 
 
+@pytest.mark.parametrize("way", ["hasty", "stale"])
+def test_a_discovery_that_answers_without_waiting_is_asked_no_faster_than_the_pace(way: str) -> None:
+    """Whether it says that nothing is new or tells its whole list again; a drain is heard of all the same."""
+    async def case() -> None:
+        discovery = Turns()
+        async with discovery.serving() as address:
+            s = Scheduler(address, SHORT, 1)
+            await until(lambda: len(discovery.calls) > 2)
+            setattr(discovery, way, True)
+            calls, began = len(discovery.calls), time.monotonic()
+            await until(lambda: len(discovery.calls) >= calls + 20)
+            pace = SHORT.watch_pace.total_seconds()
+            # Of these calls' starts all but the first are at least the pace after the one before.
+            assert time.monotonic() - began > (len(discovery.calls) - calls - 1) * pace
+            began = time.monotonic()
+            await discovery.drain()
+            await until(lambda: s.drained)
+            assert s.drained - began < pace + 0.1 and len(discovery.open) == 1 and not s.failures
+            s.watch.close()
+
+    run(case())
+
+
 def test_a_new_process_and_a_moved_one_hear_of_a_drain_at_once_or_soon_after_refusals() -> None:
     async def case() -> None:
         former, discovery = Turns(), Turns()
