--- a/hazellead/core/passing.py
+++ b/hazellead/core/passing.py
@@ -108,17 +108,22 @@
             raise UnknownError("no room, or its id is open here")
         if unknown := [a.worker for a in given.attempts if self._number(a.worker) is None]:
             raise UnknownError(f"no such worker: {unknown[0]}")
+        self._numbered(given)
+
+    def _numbered(self, given: OpenJob) -> tuple[generations.Generation, int, int]:
         try:
-            generations.keep(self._scheduler.generation, (given.job.class_name, given.rules), given.tenant)
+            return generations.keep(
+                self._scheduler.generation, (given.job.class_name, given.rules), given.tenant)
         except generations.TooManyError as error:
             raise UnknownError(str(error)) from None
 
     def take(self, given: OpenJob, reply: ClientReply, passed: timedelta) -> int:
-        """Go on with a job that ``check`` has let pass so long ago; return its number here."""
-        held = self._scheduler.generation
-        generation, job_class, tenant = generations.keep(
-            held, (given.job.class_name, given.rules), given.tenant)
-        if generation is not held:
+        """Go on with a job that ``check`` has let pass so long ago; return its number here.
+
+        Raises UnknownError where settings have come in force since that leave it no number.
+        """
+        generation, job_class, tenant = self._numbered(given)
+        if generation is not self._scheduler.generation:
             self._scheduler.retune(generation)
         job, now = replace(given.job, job_class=job_class, tenant=tenant), self._clock.now() - passed
 
--- a/hazellead/platform/estate.py
+++ b/hazellead/platform/estate.py
@@ -82,7 +82,7 @@
         assert given.handover
         self._life, self._clock, self._scheduler, self._server = life, clock, scheduler, server
         self._workers, self._watch, self._front = workers, watch, front
-        self._passing = Passing(scheduler, workers, clock, watch.name, watch.number)
+        self._passing = Passing(scheduler, workers, clock, watch.name, self._reachable)
         self._parked, self._offered = Batches[_Parked](), Batches[_Offered]()
         self._parted: set[str] = set()  # ids of jobs that the process after this one has taken over
         self._refused: set[int] = set()  # numbers of those that it could not
@@ -108,6 +108,11 @@
         except MessageError as error:
             log.warning("handover_incomplete", reason=str(error))
 
+    def _reachable(self, uid: str) -> int | None:
+        """Return the number of a worker of which we know where it listens: its jobs may have to be given up."""
+        number = self._watch.number(uid)
+        return number if number is not None and self._watch.place(number) else None
+
     async def succeed(self) -> None:
         """Replace the process that serves, if there is one; raises ConfigError if that cannot be."""
         if self._heir is None:
@@ -289,7 +294,13 @@
             first = "POST", job.given.job.job.target, "HTTP/1.1"
             exchange = Exchange(Message(first, {}, b"", job.given.keep))
             passed = self._clock.now() - job.came
-            self._front.follow(exchange, self._passing.take(job.given.job, Reply(exchange), passed))
+            try:
+                number_here = self._passing.take(job.given.job, Reply(exchange), passed)
+            except UnknownError as error:  # settings have changed since it was offered
+                log.error("job_lost", job=job.identity, reason=str(error))
+                job.sock.close()
+                continue
+            self._front.follow(exchange, number_here)
             self.adopt(Detached(job.sock, job.given.read, job.given.proven, False, exchange))
             self._taken += 1
         for job in theirs:
