--- a/hazellead/platform/estate.py
+++ b/hazellead/platform/estate.py
@@ -109,7 +109,7 @@
             log.warning("handover_incomplete", reason=str(error))
 
     def _reachable(self, uid: str) -> int | None:
-        """Return the number of a worker of which we know where it listens: its jobs may have to be given up."""
+        """Return the number of a worker that we can call: a job there may have to be given up."""
         number = self._watch.number(uid)
         return number if number is not None and self._watch.place(number) else None
 
