--- a/hazellead/platform/clients.py
+++ b/hazellead/platform/clients.py
@@ -145,7 +145,8 @@
     def _slots(self, text: str) -> float:
         props = dict(p.strip().partition("=")[::2] for p in text.split(",") if p.strip())
         try:
-            slots = float(props.get("slots", "1"))
+            # The wire's name and the pages' own: a job of many slots must not pass for one of one.
+            slots = float(props.get("coresNeeded", props.get("slots", "1")))
         except ValueError:
             raise BadRequestError(400, "X-Props is malformed") from None
         if not 0 <= slots <= self._scheduler.limits.slots:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -444,6 +444,8 @@
                     (400, "/post-payment", good.replace("pohja", "odd")),
                     (400, "/post-payment", good.replace("5000m", "5s")), (405, "/up", ""),
                     (400, "/post-payment", good + "X-Props: slots=x\r\n"),
+                    (400, "/post-payment", good + "X-Props: slots=1, coresNeeded=x\r\n"),
+                    (400, "/post-payment", good + "X-Props: coresNeeded=1025\r\n"),
                     (400, "/post-payment", good.replace(": 1", ": ../x")),
                     (429, "/post-payment", good)):  # no worker is known
                 assert (await http_post(port, target, b"", headers))[0] == status, (target, headers)
