--- a/hazellead/decide/choice.py
+++ b/hazellead/decide/choice.py
@@ -35,7 +35,7 @@
 COLD_SAFETY = 0.6  # part of a cold worker's budget that is used
 COLD_USE = 1.7  # where nothing is reported: over what it can do at least; measured, most do twice as much
 CHANCE = 1.5  # standard deviations kept free in it, since dispatchers draw their parts apart
-COPY_SHARE = 0.1  # second copies allowed for each first push
+COPY_SHARE = 0.1  # second copies allowed for each first push; each start that a queue made late takes one
 PROBE_SPEND = 0.01  # points a request that may be spent on probes
 ASK_APART = 10  # ticks, for each dispatcher, over which the first calls to the list service are spread
 LOOKING, LOOK = 0.75, 3  # part of the slack a job waits for a worker shown free by a probe; those probed
@@ -499,9 +499,8 @@
             if overdue and attempt.idle:  # nothing came back over a connection that had idled so long
                 self.reuse = min(self.reuse, attempt.idle / 2)
             late = overdue or (s.tells_start and not attempt.began) or self._doubt(w) >= TRUST
-            late = late and self.now <= r.useful and number + 1 == len(r.attempts)
-            late = late and self.copies >= 1 and len(r.attempts) < s.attempts(r.job_class)
-            if late and (target := self._pick(r)):
+            may = self.copies >= 1 and number + 1 == len(r.attempts) < s.attempts(r.job_class)
+            if late and may and self.now <= r.useful and (target := self._pick(r)):
                 self.copies -= 1
                 self._push(r, target)
             else:
@@ -528,6 +527,7 @@
                 w.unstarted.discard(key)
                 if wait > self._slack(attempt.request.job_class):
                     self._overload(w)  # its wait alone made it late
+                    self.copies = max(0.0, self.copies - 1)  # where work queues, a copy waits too
                     if not self.settings.reports:  # nothing else tells of the queue there: let it run down
                         w.full_until = self.now + int(RUN_DOWN * wait)
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -537,6 +537,24 @@
     assert sent == [2, 1]
 
 
+@pytest.mark.parametrize(("way_us", "attempts"), [(1_000, 2), (400_000, 1)])
+def test_where_work_queues_no_second_copies_add_to_it(way_us: int, attempts: int) -> None:
+    """In an overload nearly every job began late, and copies sent for that were a tenth more to queue."""
+    base = replace(BASE, reports=False, tells_start=True, tenants=())
+    referee = Referee(base)
+    referee.play(fleet(12))
+    for number in range(100, 140):  # in time: four copies allowed
+        referee.play(api.Arrival(number, 0, 5_000_000), after_us=20_000)
+        run_job(referee, number, 0, 100_000, way_us=1_000)
+    for number in range(200, 208):
+        referee.play(api.Arrival(number, 0, 5_000_000), after_us=20_000)
+        run_job(referee, number, 0, 100_000, way_us=way_us)
+    referee.play(api.Arrival(1, 0, 5_000_000), after_us=1_000_000)
+    for _ in range(25):
+        referee.play(api.TimerFired(0), after_us=4000)
+    assert len(referee.books[1].sent) == attempts
+
+
 def test_quiet_dispatchers_start_apart_at_the_list_service() -> None:
     """All dispatchers asked the list service in their first step, and it turned most of them away."""
     first = []
