--- a/hazellead/lab/capacity/failures.py
+++ b/hazellead/lab/capacity/failures.py
@@ -31,7 +31,7 @@
 
 
 def _a_day(number: float) -> str:
-    return f"{number:.2g} a day"
+    return f"{number:.3g} a day"
 
 
 def failures(runs: Iterable[Run]) -> list[Failure]:
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -2,10 +2,12 @@
 
 import importlib.util
 import os
+import re
 import signal
 import subprocess
 import sys
 import time
+from dataclasses import asdict
 from pathlib import Path
 from random import Random
 
@@ -83,6 +85,16 @@
     assert main(["--check"]) == 0
 
 
+def test_handwritten_text_has_no_figures_but_the_targets_and_the_programs_own() -> None:
+    text = re.sub(r"<!-- generated.*?<!-- end -->", "", (DOCS / "CAPACITY.md").read_text(), flags=re.S)
+    given = {f"{v:,g}" for v in asdict(TARGET).values()} | {"4.7", "19", "930", "1.9"}  # 930 on 490 workers
+    assert f"{930 / TARGET.workers:.1f}" == "1.9" and ranking.Load().machines == 499
+    # Machines, the bend, an interval, multiples, descriptors, an HTTP status, minutes of a run.
+    ours = {"499", f"{slopes.BEND:.0%}"[:-1], "95", "2x", "10x", "1,024", "202", "20"}
+    found = set(re.findall(r"(?<![\w.])\d[\d,.]*x?(?<![,.])", text))
+    assert found <= given | ours, found - given - ours
+
+
 def test_a_page_that_differs_is_found(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
     docs = laid(tmp_path)
     assert main(["--check"], docs=docs) == 1  # rendered from an empty result, the file is not
