--- a/hazellead/lab/capacity/plots.py
+++ b/hazellead/lab/capacity/plots.py
@@ -23,6 +23,9 @@
 }
 _NO_DATE = {"Date": None, "Creator": None}
 ACROSS = 3
+SEEN = 3.0  # times the largest value up to which a limit is drawn: beyond, the values would lie on the axis
+WIDE, HIGH = 2.6, 1.7  # inches of one panel
+LEFT, BESIDE, ABOVE, BELOW = 0.7, 0.15, 0.3, 0.5  # and of what is round it
 
 
 def groups(slopes: list[Slope]) -> dict[str, list[Slope]]:
@@ -47,12 +50,22 @@
     panels = [list(g) for _, g in groupby(some, lambda s: s.name)]
     across = min(ACROSS, len(panels))
     down = -(-len(panels) // across)
-    figure = Figure(figsize=(3.4 * across, 2.6 * down), layout="constrained")
+    wide, high = across * (WIDE + LEFT), down * (HIGH + ABOVE + BELOW)  # inches
+    figure = Figure(figsize=(wide + BESIDE, high))
     FigureCanvasSVG(figure)
-    axes = figure.subplots(down, across, squeeze=False).flat
-    for panel, slopes in zip(axes, panels, strict=False):
+    # Margins are given: to fit them to the labels takes longer than all the rest.
+    figure.subplots_adjust(
+        left=LEFT / (wide + BESIDE),
+        right=wide / (wide + BESIDE),
+        bottom=BELOW / high,
+        top=1 - ABOVE / high,
+        wspace=LEFT / WIDE,
+        hspace=(ABOVE + BELOW) / HIGH,
+    )
+    axes = list(figure.subplots(down, across, squeeze=False).flat)
+    for panel, slopes in zip(axes[: len(panels)], panels, strict=True):
         _panel(panel, slopes)
-    for empty in list(axes)[len(panels) :]:
+    for empty in axes[len(panels) :]:
         empty.set_visible(False)
     out = io.BytesIO()
     figure.savefig(out, format="svg", metadata=_NO_DATE)
@@ -85,11 +98,15 @@
             )
         if s.size is not None:
             panel.axvline(s.size, color="0.6", linewidth=0.8, linestyle="--")
+    title = " ".join(w for w in (name.role, name.part, what) if w)
+    title = f"{title}, {slopes[0].unit}" if slopes[0].unit else title
     if (limit := limits().get((name.role, name.part, name.quantity))) is not None:
-        panel.axhline(limit, color="C3", linewidth=0.8)
-    panel.set_title(" ".join(w for w in (name.role, name.part, what) if w))
+        if limit <= SEEN * max(v * s.factor for s in slopes for p in s.sweep.points for v in p.values):
+            panel.axhline(limit, color="C3", linewidth=0.8)
+        else:
+            title += f" (limit {limit:,.0f}: above)"
+    panel.set_title(title)
     panel.set_xlabel(slopes[0].sweep.axis)
-    panel.set_ylabel(slopes[0].unit)
     panel.set_ylim(bottom=0)
     if panel.get_legend_handles_labels()[0]:
         panel.legend(fontsize=6)
