--- a/hazellead/lab/capacity/page.py
+++ b/hazellead/lab/capacity/page.py
@@ -7,7 +7,7 @@
 
 import jinja2
 
-from hazellead.lab.capacity import failures, plots, ranking, table
+from hazellead.lab.capacity import failures, ranking, table
 from hazellead.lab.capacity.result import Result
 from hazellead.lab.capacity.target import TARGET
 
@@ -109,7 +109,7 @@
         "counted": table.tally([r.verdict for r in rows]),
         "counted_runs": table.tally(figures),
         "broken": sum(len(r.broken) for r in result.runs),
-        "plots": plots.groups(slopes),
+        "plots": table.plot_groups(slopes),
         "multiples": table.MULTIPLES,
     }
     environment = _environment()
@@ -129,4 +129,6 @@
 
 def draw(result: Result) -> dict[str, bytes]:
     """Return the plots' files by name."""
+    from hazellead.lab.capacity import plots  # the plots' library takes longer to load than all the rest
+
     return plots.draw(table.slopes(result))
--- a/hazellead/lab/capacity/plots.py
+++ b/hazellead/lab/capacity/plots.py
@@ -1,7 +1,6 @@
 """Plots of the sweeps, the same bytes each time from the same result."""
 
 import io
-import re
 from itertools import groupby
 
 import matplotlib.style
@@ -9,7 +8,7 @@
 from matplotlib.backends.backend_svg import FigureCanvasSVG
 from matplotlib.figure import Figure
 
-from hazellead.lab.capacity.table import QUANTITIES, Slope, limits
+from hazellead.lab.capacity.table import QUANTITIES, Slope, limits, plot_groups
 
 # Ids and dates would differ from run to run, and fonts from machine to machine: text stays text.
 _STYLE = {
@@ -28,22 +27,10 @@
 LEFT, BESIDE, ABOVE, BELOW = 0.7, 0.15, 0.3, 0.5  # and of what is round it
 
 
-def groups(slopes: list[Slope]) -> dict[str, list[Slope]]:
-    """Return the sweeps of each plot, by file name: one role along one axis."""
-
-    def key(s: Slope) -> tuple[str, str]:
-        return s.name.role, s.sweep.axis
-
-    return {
-        re.sub(r"[^a-z0-9]+", "-", f"{role} {axis}".lower()).strip("-") + ".svg": list(some)
-        for (role, axis), some in groupby(sorted(slopes, key=key), key)
-    }
-
-
 def draw(slopes: list[Slope]) -> dict[str, bytes]:
     """Return the plots' files."""
     with matplotlib.style.context(["default", _STYLE]):
-        return {name: _plot(some) for name, some in groups(slopes).items()}
+        return {name: _plot(some) for name, some in plot_groups(slopes).items()}
 
 
 def _plot(some: list[Slope]) -> bytes:
@@ -101,7 +88,8 @@
     title = " ".join(w for w in (name.role, name.part, what) if w)
     title = f"{title}, {slopes[0].unit}" if slopes[0].unit else title
     if (limit := limits().get((name.role, name.part, name.quantity))) is not None:
-        if limit <= SEEN * max(v * s.factor for s in slopes for p in s.sweep.points for v in p.values):
+        values = [v * s.factor for s in slopes for p in s.sweep.points for v in p.values]
+        if limit <= SEEN * max(values, default=0.0):
             panel.axhline(limit, color="C3", linewidth=0.8)
         else:
             title += f" (limit {limit:,.0f}: above)"
--- a/hazellead/lab/capacity/table.py
+++ b/hazellead/lab/capacity/table.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
+from itertools import groupby
 
 from hazellead.lab.capacity.result import Figure, Result, Run, Sweep
 from hazellead.lab.capacity.slopes import Line, SlopeError, fit
@@ -309,6 +310,18 @@
     )
 
 
+def plot_groups(slopes: list[Slope]) -> dict[str, list[Slope]]:
+    """Return the sweeps of each plot, by file name: one role along one axis."""
+
+    def key(s: Slope) -> tuple[str, str]:
+        return s.name.role, s.sweep.axis
+
+    return {
+        re.sub(r"[^a-z0-9]+", "-", f"{role} {axis}".lower()).strip("-") + ".svg": list(some)
+        for (role, axis), some in groupby(sorted(slopes, key=key), key)
+    }
+
+
 def _order(name: Name) -> tuple[int, str, int, str]:
     parts = [(p.role, p.part) for p in PARTS]
     roles = [p.role for p in PARTS]
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -14,7 +14,7 @@
 import pytest
 from loopback import ROOT
 
-from hazellead.lab.capacity import failures, page, peaks, plots, ranking, slopes, table
+from hazellead.lab.capacity import failures, page, peaks, ranking, slopes, table
 from hazellead.lab.capacity.__main__ import main
 from hazellead.lab.capacity.result import Figure, Point, Result, load
 from hazellead.lab.capacity.target import TARGET
@@ -577,4 +577,4 @@
 
 def test_plots_show_every_sweep_once() -> None:
     found = table.slopes(sample())
-    assert sum(len(some) for some in plots.groups(found).values()) == len(found) == 4
+    assert sum(len(some) for some in table.plot_groups(found).values()) == len(found) == 4
