--- a/hazellead/lab/sockets.py
+++ b/hazellead/lab/sockets.py
@@ -11,7 +11,7 @@
 from dataclasses import replace
 from datetime import timedelta
 from random import Random
-from typing import Any
+from typing import Any, Protocol
 
 from tornado.iostream import IOStream, StreamClosedError
 
@@ -53,10 +53,23 @@
         return timer
 
 
-class _HttpTicket:
+class CallsBack(Protocol):
+    """Where call-backs of a worker to one scheduler leave."""
+
+    worker: WorkerModel
+
+    def keep(self, task: "asyncio.Future[None]") -> None:
+        """Hold a call-back until it is through."""
+
+    async def call_back(self, event: dict[str, Any]) -> None:
+        """Make one call."""
+
+
+class HttpTicket:
     """One job and the call-backs that tell of it, in order."""
 
-    def __init__(self, door: "Door", identity: str, work_s: float) -> None:
+    def __init__(self, door: CallsBack, identity: str, work_s: float) -> None:
+        """Call back through this door."""
         self._door, self.identity, self.work_s = door, identity, work_s
         self._last: asyncio.Future[None] | None = None
 
@@ -123,7 +136,7 @@
         else:
             identity = exchange.message.headers.get("x-trace-id", "")
             self.offered += 1
-            taken = self.worker.offer(_HttpTicket(self, identity, self._work_of(exchange.message.body)))
+            taken = self.worker.offer(HttpTicket(self, identity, self._work_of(exchange.message.body)))
             if taken:
                 exchange.respond(202)
             else:
--- a/hazellead/lab/worker.py
+++ b/hazellead/lab/worker.py
@@ -88,6 +88,11 @@
         """Return how many jobs wait for a core."""
         return len(self._queue)
 
+    @property
+    def running(self) -> list[Ticket]:
+        """Return the jobs that run."""
+        return [run.ticket for run in self._running.values()]
+
     @property
     def cold(self) -> bool:
         """Say whether it is still warming."""
