--- a/hazellead/lab/capacity/hollow_clients.py
+++ b/hazellead/lab/capacity/hollow_clients.py
@@ -66,6 +66,7 @@
         self._idle: dict[str, list[Asker]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._load: asyncio.Task[None] | None = None
+        self._shut: set[str] = set()
 
     async def obey(self, command: dict[str, Any]) -> dict[str, Any]:
         """Carry out one command."""
@@ -97,6 +98,11 @@
         self._load = self._spawn(self._arrivals(rate, task_s, phase)) if rate else None
         return {}
 
+    def do_front(self, scheduler: str, admitted: bool) -> dict[str, Any]:
+        """Send new connections to a scheduler, or to others; kept ones are used for as long as they last."""
+        (self._shut.discard if admitted else self._shut.add)(scheduler)
+        return {}
+
     def do_counts(self) -> dict[str, Any]:
         """Return what was counted."""
         return {"table": self.counts.table}
@@ -164,6 +170,10 @@
     async def _ask(self, task: Task) -> tuple[bool, float]:
         """Ask once; return whether to ask again at once, and when a refusal lets one come back."""
         line, kept = self._rested(task.scheduler), True
+        if line is None and task.scheduler in self._shut and not task.sent_ns:
+            others = [name for name in self.plan.schedulers if name not in self._shut]
+            task.scheduler = self._rng.choice(others or [task.scheduler])
+            line = self._rested(task.scheduler)
         task.sent_ns = task.sent_ns or time.monotonic_ns()
         if line is None:
             kept = False
