--- a/hazellead/lab/capacity/real.py
+++ b/hazellead/lab/capacity/real.py
@@ -182,6 +182,8 @@
                        context.seed, broken)
     rows = [r for r in told.rows if r.phase == "changes"]
     figures = _uses(under_changes) | seen | _answers(rows)
+    looks = mean(u.messages("look")[0] for u in under_changes.values())
+    figures["looks"] = Figure(looks, "1/s", None, "at each console, for the stamps; cpu has them")
     context.result.run("changes", "real", size.written() | {"changes": changes, "apart_s": apart_s}, figures,
                        context.seed, broken)
 
@@ -200,7 +202,7 @@
         nonlocal missing
         began = time.monotonic()
         while time.monotonic() < began + MOST_S:
-            if holds(await process.stats()):
+            if holds(await process.stats("look")):
                 spans[kind].append(time.monotonic() - began)
                 return
             await asyncio.sleep(LOOK_S)
--- a/hazellead/lab/capacity/real_stand.py
+++ b/hazellead/lab/capacity/real_stand.py
@@ -140,12 +140,12 @@
             return (await _call(self.console, "GET", "/admin/health"))[0] == 200
         return False
 
-    async def stats(self) -> dict[str, float]:
-        """Return the console's figures; none if it does not answer."""
+    async def stats(self, kind: str = "console") -> dict[str, float]:
+        """Return the console's figures, counted as this kind of message; none if it does not answer."""
         with suppress(OSError, TimeoutError):
             status, body, there, back = await _call(self.console, "GET", "/admin/stats")
-            self._stand.counts.note(self.name, "console", inward=True, size=there)
-            self._stand.counts.note(self.name, "console", inward=False, size=back, body=len(body))
+            self._stand.counts.note(self.name, kind, inward=True, size=there)
+            self._stand.counts.note(self.name, kind, inward=False, size=back, body=len(body))
             if status == 200:
                 rows = [line.removeprefix("svc.").partition("|")[0].partition(":")[::2]
                         for line in body.decode().splitlines()]
@@ -206,11 +206,12 @@
         """Return the bytes a second of control, both ways.
 
         Control is all but clients' requests and answers, the bodies that are pushed and the results that come
-        back: the heads of pushes, call-backs, the watch, probes, give-ups and the console.
+        back: the heads of pushes, call-backs, the watch, probes, give-ups and the console. The looks of a
+        measurement itself are left out.
         """
         total = 0.0
         for kind in self.kinds:
-            if kind not in ("request", "up"):
+            if kind not in ("request", "up", "look"):
                 carried = sum(self.bodies(kind)) if kind in ("push", "done") else 0.0
                 total += sum(self.size(kind)) - carried
         return total
--- a/tests/test_capacity_real.py
+++ b/tests/test_capacity_real.py
@@ -15,7 +15,7 @@
 
 from hazellead.lab.capacity import real
 from hazellead.lab.capacity.hollow_counts import Counts, Row, Table, merged, since
-from hazellead.lab.capacity.real_stand import History, Stand, judge
+from hazellead.lab.capacity.real_stand import History, Stand, Use, judge
 from hazellead.lab.capacity.real_stand import Row as Task
 from hazellead.lab.capacity.result import Result
 from hazellead.lab.checker import RuleChecker
@@ -245,3 +245,36 @@
     with suppress(OSError):
         return int((path / "stat").read_text().rpartition(")")[2].split()[1])
     return 0
+
+
+def test_fates_tell_apart_what_became_of_open_tasks() -> None:
+    ends = ("served", "failed", "refused", "lost", "", "not let in")
+    told = History(rows=[_task(str(i), end) for i, end in enumerate(ends)])
+    told.starts = {"0": [2], "1": [2], "3": [2, 3], "4": [2]}
+    figures = {name: figure.value for name, figure in real._fates(told, told.rows).items()}
+    assert figures == {
+        "tasks_open": 6, "tasks_served": 1, "tasks_failed": 1, "tasks_refused": 1, "tasks_unanswered": 2,
+        "tasks_still_open": 1, "tasks_begun_in_vain": 2, "run_twice": 1}
+
+
+@pytest.mark.parametrize(("looks", "away"), [
+    ([True, True], 0.0), ([True, False, True], 0.05), ([True, False, True, False, False, True], 3.05)])
+def test_an_address_is_away_from_the_first_bad_look_to_the_last(looks: list[bool], away: float) -> None:
+    order = real.Order("n0", "killed", looks=[(i * 10**9, good) for i, good in enumerate(looks)])
+    assert order.away_s() == pytest.approx(away)
+
+
+def test_late_are_those_that_have_not_begun_in_a_second_and_those_refused() -> None:
+    rows = [replace(_task(name, end), job_class="urgent") for name, end in (
+        ("quick", "served"), ("slow", "served"), ("queued", ""), ("turned", "refused"))]
+    told = History(rows=rows, starts={"quick": [10**9 + 5], "slow": [3 * 10**9]})
+    figures = real._started(told, "hold", 10 * 10**9)
+    assert figures["urgent_late"].value == 0.75 and figures["urgent_late"].limit == 0.0
+    assert figures["urgent_refused"].value == 0.25 and figures["urgent_wait_most"].value == 2.0
+
+
+def test_control_leaves_out_what_carries_work() -> None:
+    use = Use(seconds=2.0, kinds={
+        "request": [1, 500, 200, 1, 90, 20], "push": [1, 40, 0, 1, 300, 200], "done": [1, 150, 20, 1, 38, 0],
+        "watch": [2, 100, 70, 2, 80, 0], "up": [9, 900, 0, 9, 900, 0], "look": [9, 900, 0, 9, 900, 0]})
+    assert use.control() == (40 + 100 + 130 + 38 + 100 + 80) / 2
