Lab: jobs of several slots, worlds of other shapes, networks in two parts

Scale tests need workers of many slots, fleets in six zones, tenants and classes other than the laboratory's, and a cut between regions. A worker counts the slots that a job takes, in order; a world takes fleet, models and settings from methods that another may replace; word over a cut waits for the join. The mesh counts bytes by the kind of message. Behaviour without these is as before: tests/test_lab.py and test_peers.py pass unchanged.

--- a/hazellead/lab/learners.py
+++ b/hazellead/lab/learners.py
@@ -29,10 +29,10 @@
     def __init__(
         self, world: World, *, learning: LearningSettings | None = None, node: NodeSettings | None = None,
         network: MeshNetwork | None = None, start_us: int = 300_000, every_us: int = 500_000,
-        wrap: Callable[[Instance, Learner], Learner] = lambda _, scheduler: scheduler,
+        wrap: Callable[[Instance, Learner], Learner] = lambda _, scheduler: scheduler, names: Names = NAMES,
     ) -> None:
         """Attach to a world that has not started; ``wrap`` may put a liar before a scheduler."""
-        self.world, self._wrap = world, wrap
+        self.world, self._wrap, self._names = world, wrap, names
         self._learning = learning or LearningSettings(default_half_lives())
         self.mesh = Mesh(world.time, world.plan.seed, node, self._learning, network)
         self._start_us, self._every_us = start_us, every_us
@@ -45,7 +45,7 @@
         others = [i.name for i in self.world.instances if i is not instance and i.up]
         peer = self.mesh.add(instance.name, others)
         scheduler = self._wrap(instance, instance.scheduler)
-        pupil = Pupil(peer.node.knowledge, scheduler, NAMES, self._learning)
+        pupil = Pupil(peer.node.knowledge, scheduler, self._names, self._learning)
         lesson = self.lessons[instance.number] = _Lesson(instance.life, peer, pupil)
         instance.up = False
         began = self.world.time.now_us()
--- a/hazellead/lab/mesh.py
+++ b/hazellead/lab/mesh.py
@@ -27,6 +27,7 @@
     up: bool = True
     sent_bytes: int = 0
     sent_messages: int = 0
+    by_kind: dict[str, int] = field(default_factory=dict)  # of the bytes sent, by the kind of message
     side: int = 0  # of a partition
     slow_us: int = 0  # a pause: it handles nothing until then
     timer: Timer | None = None
@@ -109,6 +110,8 @@
             data = encode(message)
             peer.sent_bytes += len(data) + 29  # TLS puts that many round a record
             peer.sent_messages += 1
+            kind = type(message).__name__
+            peer.by_kind[kind] = peer.by_kind.get(kind, 0) + len(data) + 29
             target = self.peers.get(name or address)
             if target is None or target.side != peer.side or self.rng.random() < self.network.loss:
                 continue
--- a/hazellead/lab/worker.py
+++ b/hazellead/lab/worker.py
@@ -47,10 +47,10 @@
 
 
 class _Running:
-    __slots__ = ("began_us", "done_us", "ends", "reports", "ticket")
+    __slots__ = ("began_us", "done_us", "ends", "reports", "slots", "ticket")
 
-    def __init__(self, ticket: Ticket, began_us: int, done_us: int) -> None:
-        self.ticket, self.began_us, self.done_us = ticket, began_us, done_us
+    def __init__(self, ticket: Ticket, slots: int, began_us: int, done_us: int) -> None:
+        self.ticket, self.slots, self.began_us, self.done_us = ticket, slots, began_us, done_us
         self.ends: Timer | None = None
         self.reports: Timer | None = None
 
@@ -77,7 +77,8 @@
         self.falls = 0
         self.pace = 1.0  # a trouble's factor on its speed
         self.busy_us = 0.0
-        self._queue: deque[Ticket] = deque()
+        self._queue: deque[tuple[Ticket, int]] = deque()  # with the cores that each takes at once
+        self._used = 0  # cores
         self._running: dict[str, _Running] = {}
         self._sent: deque[tuple[int, float]] = deque()  # work sent to it while cold, by when
         self._sent_s = 0.0
@@ -114,14 +115,22 @@
             return int(left + need - until_warm)
         return int((math.sqrt(warm * warm + 2 * rise * need) - warm) / rise)
 
-    def offer(self, ticket: Ticket) -> bool:
-        """Take a job in; False if its queue is full or it drains, so that the job never ran here."""
+    @property
+    def used(self) -> int:
+        """Return how many cores are taken."""
+        return self._used
+
+    def offer(self, ticket: Ticket, slots: int = 1) -> bool:
+        """Take a job in that needs so many cores at once.
+
+        False if its queue is full, it drains, or it has not that many cores: the job never ran here.
+        """
         now = self._time.now_us()
         if self.cold and self._pushed_over(ticket.work_s, now):
             return True  # taken, and lost with the rest
-        if self.life is Life.DRAINING or len(self._queue) >= self.spec.queue:
+        if self.life is Life.DRAINING or len(self._queue) >= self.spec.queue or slots > self.spec.cores:
             return False
-        self._queue.append(ticket)
+        self._queue.append((ticket, slots))
         self._start()
         return True
 
@@ -141,11 +150,13 @@
 
     def _start(self) -> None:
         now = self._time.now_us()
-        while self._queue and len(self._running) < self.spec.cores:
-            ticket = self._queue.popleft()
+        # In order: one that needs many cores keeps those behind it waiting, or it would never run.
+        while self._queue and self._used + self._queue[0][1] <= self.spec.cores:
+            ticket, slots = self._queue.popleft()
+            self._used += slots
             work = ticket.work_s * self._rng.lognormvariate(0, self._noise) if self._noise else ticket.work_s
             takes = self._takes_us(work, now)
-            run = self._running[ticket.identity] = _Running(ticket, now, now + takes)
+            run = self._running[ticket.identity] = _Running(ticket, slots, now, now + takes)
             self._ran(self, ticket.identity)
             run.ends = self._time.after(takes, self._done, run)
             self._say(ticket.began)
@@ -162,6 +173,7 @@
 
     def _done(self, run: _Running) -> None:
         del self._running[run.ticket.identity]
+        self._used -= run.slots
         self.busy_us += run.done_us - run.began_us
         self._say(run.ticket.done)
         self._start()
@@ -176,25 +188,27 @@
         """Stop a job that its scheduler has given up."""
         if run := self._running.pop(identity, None):
             run.cancel()
+            self._used -= run.slots
             self.busy_us += self._time.now_us() - run.began_us
             self._start()
         else:
-            self._queue = deque(t for t in self._queue if t.identity != identity)
+            self._queue = deque(q for q in self._queue if q[0].identity != identity)
 
     def drain(self) -> None:
         """Complete what runs, hand back what waits, take nothing new."""
         self.life = Life.DRAINING
         waiting, self._queue = self._queue, deque()
-        for ticket in waiting:
+        for ticket, _ in waiting:
             self._say(ticket.returned)
 
     def crash(self) -> None:
         """Die: all it holds is lost, which nobody hears of if it was cut off."""
         cut_off = self.life is Life.SILENT
-        held = [run.ticket for run in self._running.values()] + list(self._queue)
+        held = [run.ticket for run in self._running.values()] + [ticket for ticket, _ in self._queue]
         for run in self._running.values():
             run.cancel()
         self._running.clear()
+        self._used = 0
         self._queue.clear()
         self._sent.clear()
         self._sent_s = 0.0
--- a/hazellead/lab/world.py
+++ b/hazellead/lab/world.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from random import Random
@@ -55,6 +55,7 @@
     stream_cv: float = 0.2  # how unevenly clients spread over schedulers
     retries: int = 2
     limits: Limits = field(default_factory=lambda: Limits(requests=5000))
+    zones: int = 2
 
 
 @dataclass(slots=True)
@@ -132,14 +133,17 @@
 class _Ticket:
     """An attempt at a worker: carries the worker's words back over the network."""
 
-    __slots__ = ("_attempt", "_delay", "_line", "identity", "work_s")
+    __slots__ = ("_attempt", "_delay", "_line", "_zone", "identity", "work_s")
 
-    def __init__(self, line: "Line", attempt: Attempt, work_s: float, delay: Callable[[], float]) -> None:
-        self._line, self._attempt, self._delay = line, attempt, delay
+    def __init__(
+        self, line: "Line", attempt: Attempt, work_s: float, delay: Callable[[], float], zone: int,
+    ) -> None:
+        self._line, self._attempt, self._delay, self._zone = line, attempt, delay, zone
         self.identity, self.work_s = attempt.job.identity, work_s
 
     def _tell(self, call: Callable[..., None], *args: Any) -> None:
-        self._line.time.after(self._delay(), self._arrive, call, args)
+        self._line.world.carry(
+            self._line.instance.zone, self._zone, self._delay(), self._arrive, call, args)
 
     def _arrive(self, call: Callable[..., None], args: tuple[Any, ...]) -> None:
         if self._line.alive:  # a scheduler that died since hears nothing
@@ -195,6 +199,9 @@
         """Return a worker's name."""
         return self.world.models[worker].spec.name
 
+    def _parted(self, worker: WorkerModel) -> bool:
+        return self.world.parted(self.instance.zone, worker.spec.zone)
+
     def _delay(self, worker: WorkerModel) -> float:
         net = self.world.plan.network
         base = net.same_us if worker.spec.zone == self.instance.zone else net.cross_us
@@ -207,7 +214,7 @@
             return
         if worker.life is Life.DOWN:
             self.time.after(2 * self._delay(worker), self.end, attempt, api.Outcome.CONNECT_FAILED)
-        elif worker.life is Life.SILENT:
+        elif worker.life is Life.SILENT or self._parted(worker):
             self.time.after(self.world.plan.network.connect_us, self.end, attempt, api.Outcome.CONNECT_FAILED)
         else:
             self._write(attempt, worker)
@@ -222,13 +229,14 @@
 
     def _arrive(self, attempt: Attempt, worker: WorkerModel) -> None:
         delay = self._delay(worker)
-        if worker.life is Life.SILENT:
+        if worker.life is Life.SILENT or self._parted(worker):
             return  # its scheduler waits until the deadline
         if worker.life is Life.DOWN:
             self.time.after(delay, self.end, attempt, api.Outcome.RESET)
             return
-        ticket = _Ticket(self, attempt, float(attempt.job.target), lambda: self._delay(worker))
-        if not worker.offer(ticket):
+        ticket = _Ticket(
+            self, attempt, float(attempt.job.target), lambda: self._delay(worker), worker.spec.zone)
+        if not worker.offer(ticket, math.ceil(attempt.job.slots)):
             self.time.after(delay, self.end, attempt, api.Outcome.FULL)
 
     def end(self, attempt: Attempt, outcome: api.Outcome, result: bytes = b"") -> None:
@@ -243,12 +251,13 @@
             return
         worker = self.world.models[attempt.worker]
         self.world.checker.ended(attempt.job.identity, (attempt.outcome or api.Outcome.CANCELLED).value)
-        self.time.after(self._delay(worker), worker.cancel, attempt.job.identity)
+        self.world.carry(self.instance.zone, worker.spec.zone, self._delay(worker), worker.cancel,
+                         attempt.job.identity)
 
     def probe(self, worker: int, done: Callable[[api.Outcome], None]) -> None:
         """Ask whether a worker lives."""
         model = self.world.models[worker]
-        up = model.life in (Life.UP, Life.DRAINING)
+        up = model.life in (Life.UP, Life.DRAINING) and not self._parted(model)
         wait = 2 * self._delay(model) if up else 500_000
         self.time.after(wait, done, api.Outcome.SERVED if up else api.Outcome.TIMED_OUT)
 
@@ -262,7 +271,7 @@
     def __init__(self, world: "World", number: int, stream: Stream) -> None:
         """Set up, not started."""
         self.world, self.number, self.stream = world, number, stream
-        self.name, self.zone = f"n{number}", number % 2
+        self.name, self.zone = f"n{number}", number % world.plan.zones
         self.life, self.up = 0, False
         self.tally = Tally()
         self.scheduler: Scheduler
@@ -272,9 +281,7 @@
         """Start from nothing, as a new process does."""
         world = self.world
         self.life += 1
-        settings = settings_for(
-            world.fleet, world.plan.work, schedulers=world.plan.schedulers, number=self.number,
-            zone=self.zone)
+        settings = world.settings(self)
         seed = world.rng.getrandbits(48)
         # Virtual time has the two calls of a loop that the scheduler makes.
         self.scheduler = Scheduler(
@@ -332,16 +339,13 @@
         self.plan, self.time, self.checker = plan, VirtualTime(), RuleChecker()
         self.rng, drawn = Random(plan.seed), Random(f"fleet {plan.seed}")
         self.began_us = self.time.now_us()
-        self.fleet: list[WorkerSpec] = draw_fleet(plan.workers, drawn)
-        self.models = {
-            spec.number: WorkerModel(
-                spec, self.time, Random(f"worker {plan.seed} {spec.number}"), noise=plan.work.noise,
-                slack_s=SLACK * plan.work.mean_s,
-                fell=self._fell, ran=lambda w, identity: self.checker.ran(identity, w.spec.name))
-            for spec in self.fleet}
+        self.fleet: list[WorkerSpec] = self.draw_fleet(drawn)
+        self.models = {spec.number: self.model(spec) for spec in self.fleet}
         self.entries = {s.number: api.WorkerEntry(s.number, s.zone, s.kind) for s in self.fleet}
         self.tally = Tally()
         self.stale_us = 0  # a trouble: how much later than usual changes are told
+        self._apart = frozenset[int]()  # zones that are cut off from the others
+        self._stuck: list[tuple[float, Callable[..., None], tuple[Any, ...]]] = []  # what waits for the join
         capacity = sum(s.capacity for s in self.fleet) / plan.work.mean_s
         sigma = math.sqrt(math.log(1 + plan.stream_cv**2))
         parts = [drawn.lognormvariate(0, sigma) for _ in range(plan.schedulers)]
@@ -351,6 +355,49 @@
             stream = replace(plan.stream, rate=rate, work=plan.work)
             self.instances.append(Instance(self, number, stream))
 
+    # What other installations have otherwise.
+
+    def draw_fleet(self, rng: Random) -> list[WorkerSpec]:
+        """Return the workers."""
+        return draw_fleet(self.plan.workers, rng, self.plan.zones)
+
+    def model(self, spec: WorkerSpec) -> WorkerModel:
+        """Return the model of one worker."""
+        return WorkerModel(
+            spec, self.time, Random(f"worker {self.plan.seed} {spec.number}"), noise=self.plan.work.noise,
+            slack_s=SLACK * self.plan.work.mean_s,
+            fell=self._fell, ran=lambda w, identity: self.checker.ran(identity, w.spec.name))
+
+    def settings(self, instance: Instance) -> api.Settings:
+        """Return what a scheduler is told at its start."""
+        return settings_for(
+            self.fleet, self.plan.work, schedulers=self.plan.schedulers, number=instance.number,
+            zone=instance.zone)
+
+    # A network in two parts.
+
+    def parted(self, zone: int, other: int) -> bool:
+        """Say whether nothing passes between two zones at present."""
+        return (zone in self._apart) != (other in self._apart)
+
+    def carry(self, zone: int, other: int, us: float, call: Callable[..., None], *args: Any) -> None:
+        """Bring word from one zone to another; over a cut it waits for the join, as TCP sends again."""
+        if self._apart and self.parted(zone, other):
+            self._stuck.append((us, call, args))
+        else:
+            self.time.after(us, call, *args)
+
+    def part(self, zones: Iterable[int]) -> None:
+        """Cut these zones off from the others: no connection opens, and no word passes."""
+        self._apart = frozenset(zones)
+
+    def join(self) -> None:
+        """Join them again; what was said meanwhile arrives now."""
+        self._apart = frozenset()
+        stuck, self._stuck = self._stuck, []
+        for us, call, args in stuck:
+            self.time.after(us, call, *args)
+
     @property
     def now_s(self) -> float:
         """Return the seconds since the run began."""
