--- a/hazellead/lab/capacity/alone.py
+++ b/hazellead/lab/capacity/alone.py
@@ -27,6 +27,11 @@
 _OURS = ("*/hazellead/decide/*", "*/hazellead/core/*", "<string>")  # the last: initialisers of records
 
 
+def names_of(shape: Shape) -> tuple[tuple[str, ...], tuple[str, ...]]:
+    """Return what classes and tenants are called."""
+    return ("normal", "urgent"), tuple(f"tenant-{n}" for n in range(shape.tenants))
+
+
 class _Reply:
     """A client that counts."""
 
@@ -99,7 +104,8 @@
         self._entries = tuple(api.WorkerEntry(s.number, s.zone, s.kind) for s in self._fleet)
         # Virtual time has the two calls of a loop that the scheduler makes.
         self.scheduler = Scheduler(settings_of(shape, self._fleet, number), self._rng.getrandbits(48),
-                                   shape.limits, self.time, self.time)  # type: ignore[arg-type]
+                                   shape.limits, self.time, self.time,  # type: ignore[arg-type]
+                                   names=names_of(shape))
         self.meter = metered(self.scheduler, self._rng.getrandbits(48))
         self.scheduler.connect(self, self)
         self.ends: dict[str, int] = {}
@@ -184,6 +190,16 @@
         self.scheduler.submit(job, _Reply(self.ends))
         self._next()
 
+    def ask(self, tenant: int, slots: int, work_s: float = 5.0) -> bool:
+        """Ask for one task; say whether the decisions have taken it in rather than refused it at once."""
+        ends = dict[str, int]()
+        self.arrivals += 1
+        job = Job(f"b{self.number}-{self.arrivals}", repr(work_s), b"", NORMAL, tenant,
+                  span(self.shape.deadline_us), float(slots))
+        self.scheduler.submit(job, _Reply(ends))
+        self.time.run_us(2 * self.scheduler.settings.tick_us)
+        return not ends
+
     # Changes.
 
     def change_lists(self, a_minute: float) -> None:
@@ -205,12 +221,10 @@
 
     def change_settings(self, a_minute: float) -> None:
         """Bring the same settings with another number of attempts in force so often."""
-        names = tuple(f"tenant-{n}" for n in range(self.shape.tenants))
-
         def change() -> None:
             settings = self.scheduler.settings
             other = replace(settings, max_attempts=5 - settings.max_attempts)
-            self.scheduler.retune(self.scheduler.following(other, ("normal", "urgent"), names))
+            self.scheduler.retune(self.scheduler.following(other, *names_of(self.shape)))
             self.time.after(60 / a_minute * US, change)
 
         if a_minute > 0:
--- a/hazellead/lab/capacity/members.py
+++ b/hazellead/lab/capacity/members.py
@@ -1,31 +1,28 @@
 """Members that talk, in virtual time: schedulers alone with their stand-ins, joined by a modelled network.
 
-Each member is a real ``peers.Node``; what it tells is what its own scheduler's decisions have seen, by the same
-``Pupil`` that a running program has. Messages are really encoded; bytes are counted with TLS's round a record.
+Each member is a real ``peers.Node``; what it tells is what its own scheduler's decisions have seen, by the
+same ``Pupil`` that a running program has. Messages are really encoded; bytes are counted with TLS's own.
 """
 
 from dataclasses import dataclass, replace
+from random import Random
 from time import thread_time_ns
 
-from hazellead.lab.capacity.alone import Alone
+from hazellead.lab.capacity.alone import Alone, names_of
 from hazellead.lab.capacity.virtual_world import Shape
 from hazellead.lab.fleet import US
 from hazellead.lab.mesh import Mesh, MeshNetwork, Peer
 from hazellead.lab.time import VirtualTime
 from hazellead.learning.door import Names
-from hazellead.learning.facts import LearningSettings, default_half_lives
+from hazellead.learning.facts import Fact, LearningSettings, Origin, Topic, default_half_lives
 from hazellead.learning.pupil import Pupil
+from hazellead.learning.store import Batch, Knowledge
 from hazellead.peers.messages import Digest, encode
 from hazellead.snapshots import format as snapshots
 
 TELL_US = US // 2  # as a running program tells and learns
 
 
-def names_of(shape: Shape) -> Names:
-    """Return what classes and tenants are called."""
-    return Names(("normal", "urgent"), tuple(f"tenant-{n}" for n in range(shape.tenants)))
-
-
 @dataclass(slots=True, frozen=True)
 class Traffic:
     """What members sent in a window, each on average a second; and the most that one sent."""
@@ -65,7 +62,7 @@
         for one in self.alone:
             name = f"n{one.number}"
             peer = self.mesh.add(name, list(self.mesh.peers))
-            pupil = Pupil(peer.node.knowledge, one.scheduler, names_of(self.shape), self.learning)
+            pupil = Pupil(peer.node.knowledge, one.scheduler, Names(*names_of(self.shape)), self.learning)
             self.pupils.append(pupil)
             self.time.after(self.mesh.rng.random() * TELL_US, self._tell, pupil, learn)
 
@@ -108,7 +105,8 @@
         Returns the seconds, or infinity.
         """
         began = self.time.now_us()
-        told = {p.node.knowledge.me: p.node.knowledge.digest().get(p.node.knowledge.me, 0) for p in self.peers}
+        known = [p.node.knowledge for p in self.peers]
+        told = {k.me: k.digest().get(k.me, 0) for k in known}
         while self.time.now_us() - began < most_s * US:
             digests = [p.node.knowledge.digest() for p in self.peers]
             if all(d.get(origin, 0) >= seq for d in digests for origin, seq in told.items()):
@@ -130,22 +128,21 @@
             "capacity", p.node.name, self.time.now_us(), p.node.knowledge.everything())))
             for p in self.peers) / len(self.peers)
 
-    def restart(self, number: int) -> None:
-        """Start a member anew: another life, which asks the others for what they know."""
-        name = f"n{number}"
-        others = [n for n in self.mesh.peers if n != name]
-        peer = self.mesh.add(name, others)
-        one = self.alone[number]
-        self.pupils[number]._knowledge = peer.node.knowledge
-        self.pupils[number] = Pupil(peer.node.knowledge, one.scheduler, names_of(self.shape), self.learning)
-        self._tell(self.pupils[number], False)
-
 
 def _digest(peer: Peer) -> int:
     rows = list(peer.node.knowledge.digest().items())
     return len(encode(Digest(peer.node.knowledge.fingerprint(), 0, rows)))
 
 
+def digest_of(origins: int) -> int:
+    """Return the bytes of a whole digest that names so many origins."""
+    knowledge = Knowledge(Origin("n0", 1), LearningSettings(default_half_lives()), Random(1))
+    for n in range(origins):
+        fact = Fact(int(Topic.FACTOR), "", 0, 1.0, 1.0, 1, 1)
+        knowledge.take(2, [Batch(Origin(f"n{n % 9}", 1_767_225_600_000_000 + n), 1 + 997 * n, [fact])])
+    return len(encode(Digest(knowledge.fingerprint(), 2, list(knowledge.digest().items()))))
+
+
 def short_tasks(shape: Shape, task_s: float) -> Shape:
     """Return a shape of shorter tasks with as many starts.
 
--- a/hazellead/lab/capacity/virtual_world.py
+++ b/hazellead/lab/capacity/virtual_world.py
@@ -241,7 +241,7 @@
     def model(self, spec: WorkerSpec) -> WorkerModel:
         """Return the model of one worker, whose running tasks report as the plan says."""
         model = super().model(spec)
-        model._progress_us = self.plan.progress_us
+        model.report_every(self.plan.progress_us)
         return model
 
     def settings(self, instance: Instance) -> api.Settings:
--- a/hazellead/lab/worker.py
+++ b/hazellead/lab/worker.py
@@ -184,6 +184,14 @@
         else:
             word()
 
+    def report_every(self, us: int) -> None:
+        """Let what runs, and what will, report so often from now on."""
+        self._progress_us = us
+        for run in self._running.values():
+            if run.reports:
+                run.reports.cancel()
+            self._report_later(run)
+
     def cancel(self, identity: str) -> None:
         """Stop a job that its scheduler has given up."""
         if run := self._running.pop(identity, None):
