--- a/hazellead/lab/capacity/hollow_runs.py
+++ b/hazellead/lab/capacity/hollow_runs.py
@@ -62,6 +62,7 @@
     figures["late_a_day"] = Figure(
         _part(late, tasks) * TARGET.jobs_a_day, "tasks a day",
         note="that begin after more than 1 s, if the day's jobs were all of the peak and of one task each")
+    figures["late_a_peak_hour"] = Figure(_part(late, tasks) * world.plan.starts * 3600, "tasks an hour")
     figures["ended"] = Figure(sum(t.end != "" for t in tasks), "tasks")
     for end in ("served", "failed", "died"):
         figures[end] = Figure(sum(t.end == end for t in tasks), "tasks")
@@ -217,6 +218,7 @@
         world.start()
         _advance(world, span + 2 * task_s)
         name = f"gangs{' of 32' if mix is wide else ''}, {slots} slots, load {load:g}"
+        name += ", one scheduler" if schedulers == 1 else ""
         result.run(name, "hollow", world.plan.sizes(), _by_width(world, mix, task_s), scope.seed,
                    _close(world))
 
@@ -256,7 +258,8 @@
             for seen in (False, True):
                 name = f"first_refused_{'seen' if seen else 'unseen'}_{rank}"
                 figures[name] = Figure(_first_refused(_Asking(shape, rank, seen)), "slots", note=note)
-        result.run(f"gang thresholds, {word}", "hollow", shape.sizes(), figures, scope.seed)
+        which = ", one scheduler" if schedulers == 1 else ""
+        result.run(f"gang thresholds, {word}{which}", "hollow", shape.sizes(), figures, scope.seed)
 
 
 @dataclass(slots=True, frozen=True)
