--- a/hazellead/lab/capacity/alone.py
+++ b/hazellead/lab/capacity/alone.py
@@ -7,18 +7,30 @@
 """
 
 import gc
+import sys
 import tracemalloc
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from datetime import timedelta
+from enum import Enum
 from random import Random
 from time import thread_time_ns
+from types import BuiltinFunctionType, CodeType, FunctionType, ModuleType
 
 from hazellead.core.clock import span
 from hazellead.core.jobs import Attempt, Job
 from hazellead.core.scheduler import Scheduler
 from hazellead.decide import interface as api
-from hazellead.lab.capacity.virtual_world import NORMAL, URGENT, Shape, fleet_of, metered, settings_of, shares
+from hazellead.lab.capacity.virtual_world import (
+    NORMAL,
+    URGENT,
+    Metered,
+    Shape,
+    fleet_of,
+    metered,
+    settings_of,
+    shares,
+)
 from hazellead.lab.fleet import US
 from hazellead.lab.time import VirtualTime
 
@@ -263,25 +275,51 @@
                 "slots_held": round(sum(w.held for w in d.workers.values()))}
 
 
-def traced(shape: Shape) -> tuple[int, int, int]:
-    """Return the bytes that one scheduler's core and decisions hold: before, with all running, after.
+def reached(scheduler: Scheduler) -> int:
+    """Return the bytes of all that a scheduler's core and decisions hold, by ``sys.getsizeof``.
 
-    By tracemalloc: blocks allocated in those two packages and in the initialisers of records. Its timers
-    belong to the loop and its jobs to the front; neither is in it.
+    Each object that can be reached is counted once, jobs as the front gave them included; the loop, its
+    timers, clients, transports and code are not.
+    """
+    seen, todo, total = set[int](), list[object]([scheduler]), 0
+    while todo:
+        thing = todo.pop()
+        if id(thing) in seen or isinstance(thing, _CODE) or _foreign(type(thing).__module__):
+            continue
+        seen.add(id(thing))
+        total += sys.getsizeof(thing)
+        todo += gc.get_referents(thing)
+    return total
+
+
+_CODE = (type, ModuleType, FunctionType, BuiltinFunctionType, CodeType, Enum)
+
+
+def _foreign(module: str) -> bool:
+    ours = module.startswith(("hazellead.core", "hazellead.decide")) or module == Metered.__module__
+    return not ours and module.startswith(("hazellead", "tornado", "structlog"))
+
+
+def traced(shape: Shape) -> dict[str, tuple[int, int, int]]:
+    """Return what one scheduler holds with no task, with all that run, and after all have ended.
+
+    ``traced`` is by tracemalloc: blocks allocated in core and decisions and in the initialisers of records;
+    ``reached`` is what ``reached`` finds at the same moments.
     """
     gc.collect()
     tracemalloc.start()
     try:
         alone = Alone(shape)
         alone.time.run_us(US)
-        found = [_held()]
+        found = [(_held(), reached(alone.scheduler))]
         alone.ramp()
-        found.append(_held())
+        found.append((_held(), reached(alone.scheduler)))
         alone.empty()
-        found.append(_held())
+        found.append((_held(), reached(alone.scheduler)))
     finally:
         tracemalloc.stop()
-    return found[0], found[1], found[2]
+    idle, full, left = found
+    return {"traced": (idle[0], full[0], left[0]), "reached": (idle[1], full[1], left[1])}
 
 
 def _held() -> int:
--- a/hazellead/lab/capacity/hollow_sweeps.py
+++ b/hazellead/lab/capacity/hollow_sweeps.py
@@ -3,11 +3,12 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import replace
 
-from hazellead.lab.capacity.alone import Alone, traced
+from hazellead.lab.capacity.alone import Alone, reached, traced
 from hazellead.lab.capacity.hollow_scope import Scope
 from hazellead.lab.capacity.members import Members, digest_of, short_tasks
-from hazellead.lab.capacity.result import Result
+from hazellead.lab.capacity.result import Figure, Result
 from hazellead.lab.capacity.virtual_world import Gangs, Shape
+from hazellead.lab.fleet import US
 
 Row = dict[str, tuple[float, str]]  # quantities with their units
 
@@ -91,18 +92,28 @@
 
 
 def memory(result: Result, scope: Scope) -> None:
-    """One scheduler's state, traced: with no task, with all that run, and after all have ended."""
-    wanted = ("workers",) if scope.small else ("workers", "running", "tenants")
-    axes = {k: v for k, v in _axes(scope).items() if k in wanted}
-    for axis, sizes in axes.items():
+    """One scheduler's state in bytes: with no task, with all that run, and after all have ended.
+
+    Counted from the scheduler on by the sizes of objects; at the target checked by tracing.
+    """
+    for axis in ("workers", "running", "tenants"):
         found: dict[float, list[Row]] = {}
-        for size in [s for s in sizes if s != 2100 and s != 125 and s != 23]:
+        for size in _axes(scope)[axis]:
             for seed in scope.seeds[:2]:
-                stages = traced(_along(scope, axis, size, scope.shape(seed)))
-                names = ("memory_idle", "memory", "memory_left")  # the last: after all have ended
-                found.setdefault(size, []).append(
-                    {name: (n, "bytes") for name, n in zip(names, stages, strict=True)})
+                alone = Alone(_along(scope, axis, size, scope.shape(seed)))
+                alone.time.run_us(US)
+                idle = reached(alone.scheduler)
+                alone.ramp()
+                full = reached(alone.scheduler)
+                alone.empty()
+                found.setdefault(size, []).append({
+                    "memory_idle": (idle, "bytes"), "memory": (full, "bytes"),
+                    "memory_left": (reached(alone.scheduler), "bytes")})
         _note(result, "scheduler", axis, found, _sizes(scope.shape(), axis))
+    shape = scope.shape()
+    figures = {f"{name}_{stage}": Figure(value, "bytes") for name, stages in traced(shape).items()
+               for stage, value in zip(("idle", "full", "left"), stages, strict=True)}
+    result.run("memory", "hollow", shape.sizes(), figures, scope.seed)
 
 
 def members(result: Result, scope: Scope) -> None:
--- a/tests/test_capacity_hollow.py
+++ b/tests/test_capacity_hollow.py
@@ -154,9 +154,13 @@
 
 
 def test_memory_after_all_has_ended_is_a_fixed_part_by_worker_and_remembered_task() -> None:
-    idle, full, left = traced(replace(SMALL, starts=30.0, work=Work(4.0, 0.3, 0.0)))
-    assert idle < left < full
-    assert full - left > 100 * 30.0 * 4.0 / 3  # 40 running tasks of a few hundred bytes have gone
+    found = traced(replace(SMALL, starts=30.0, work=Work(4.0, 0.3, 0.0)))
+    for idle, full, left in found.values():
+        assert idle < left < full
+        assert full - left > 100 * 30.0 * 4.0 / 3  # 40 running tasks of a few hundred bytes have gone
+    # Two ways to count the same: what was allocated, and what can be reached.
+    for by_trace, by_reach in zip(*found.values(), strict=True):
+        assert 0.5 < by_reach / by_trace < 2
 
 
 def test_members_at_rest_send_a_bounded_number_of_messages() -> None:
