--- a/hazellead/lab/capacity/failures.py
+++ b/hazellead/lab/capacity/failures.py
@@ -86,7 +86,7 @@
             "The regions lose each other",
             f"{cuts[0]:g} to {cuts[1]:g} a year (assumed), for minutes",
             "answers from across are lost to their schedulers; members go on with what they know",
-            r"region",
+            r"region|members cut",
         ),
     )
 
--- a/hazellead/lab/capacity/ranking.py
+++ b/hazellead/lab/capacity/ranking.py
@@ -5,7 +5,7 @@
 """
 
 import re
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from hazellead.lab.capacity.result import Figure, Result, Run
@@ -20,6 +20,7 @@
 TASKS_A_JOB: Range = (1.0, 32.0)
 GANG_JOBS: Range = (0.01, 0.10)  # part of the jobs that ask for many slots at once
 GANG_SLOTS = 32.0
+UNEVEN_TASKS: Range = (0.01, 0.10)  # part of the tasks whose team comes at one scheduler
 URGENT_TASKS: Range = (0.01, 0.10)  # part of the tasks that are urgent
 ZONE_LOSSES_A_YEAR: Range = (2.0, 5.0)
 REGION_CUTS_A_YEAR: Range = (3.0, 10.0)
@@ -90,85 +91,155 @@
     return some[0] * low, some[1] * high
 
 
+def share_of(figure: Figure) -> float | None:
+    """Read a share: a part of 1, or per cent; None where the figure is neither."""
+    value = figure.value / 100 if figure.unit == "%" else figure.value
+    return value if 0 <= value <= 1 and figure.unit in ("", "%", "share", "part", "of tasks") else None
+
+
+Read = Callable[[Run], float | None]  # a share from a run's figures; None where they don't tell it
+
+
+def harmed(*keys: str) -> Read:
+    """Read a share that is harmed: the first of these figures that is there."""
+
+    def read(run: Run) -> float | None:
+        return next((share_of(run.figures[k]) for k in keys if k in run.figures), None)
+
+    return read
+
+
+def spared(*keys: str) -> Read:
+    """Read a share that is harmed as what these figures leave of the whole."""
+
+    def read(run: Run) -> float | None:
+        share = harmed(*keys)(run)
+        return None if share is None else 1 - share
+
+    return read
+
+
+def lost_of_met(run: Run) -> float | None:
+    """Read which part of the tasks that a failure met was lost: all but those served or still open."""
+    figures = run.figures
+    if "met" not in figures or not figures["met"].value:
+        return harmed("lost_share")(run)
+    left = sum(figures[k].value for k in ("met_served", "met_open") if k in figures)
+    return max(0.0, 1 - left / figures["met"].value)
+
+
+def lost_of_running(run: Run) -> float | None:
+    """Read which part of all that ran was lost in a failure that met some of it."""
+    lost, running = lost_of_met(run), run.sizes.get("running", 0.0)
+    if lost is None or "met" not in run.figures or not running:
+        return lost
+    return min(1.0, lost * run.figures["met"].value / running)
+
+
+def first(*reads: Read) -> Read:
+    """Read by the first that finds something."""
+
+    def read(run: Run) -> float | None:
+        return next((share for r in reads if (share := r(run)) is not None), None)
+
+    return read
+
+
 @dataclass(slots=True, frozen=True)
 class Cause:
-    """One miss: what a day exposes to it, and the figure of a run that says which share of that is harmed."""
+    """One miss: what a day exposes to it, and how a run says which share of that is harmed."""
 
     title: str
     run: str  # pattern of the run's name
-    shares: Sequence[str]  # patterns of the figure's name: a share (or per cent) of what was exposed
+    read: Read
     exposed: Callable[[Load], Range]  # tasks a day
     formula: str
     mechanism: str
 
 
+def _of_a_scheduler(events: float, at: Load) -> Range:
+    return times(times(at.running, 1 / at.target.schedulers), events)
+
+
+def _a_year(events: Range, at: Load) -> Range:
+    return times(at.running, (events[0] / DAYS_A_YEAR, events[1] / DAYS_A_YEAR))
+
+
+def _gangs(at: Load) -> Range:
+    return times(times((float(at.target.jobs_a_day),) * 2, GANG_JOBS), GANG_SLOTS)
+
+
 CAUSES = (
     Cause(
         "A scheduler is restarted as planned",
         r"restart",
-        (r"lost.*share", r"share.*lost"),
-        lambda at: times(times(at.running, 1 / at.target.schedulers), at.scheduler_restarts),
+        lost_of_met,
+        lambda at: _of_a_scheduler(at.scheduler_restarts, at),
         "restarts a day x schedulers / machines x running / schedulers x share lost",
         "open jobs pass to the next process",
     ),
     Cause(
         "A scheduler is replaced by a second process",
         r"replac",
-        (r"lost.*share", r"share.*lost"),
-        lambda at: times(times(at.running, 1 / at.target.schedulers), at.scheduler_restarts),
+        lost_of_met,
+        lambda at: _of_a_scheduler(at.scheduler_restarts, at),
         "restarts a day x schedulers / machines x running / schedulers x share lost",
         "open jobs pass to the next process",
     ),
     Cause(
         "A scheduler fails",
         r"kill",
-        (r"lost.*share", r"share.*lost"),
-        lambda at: times(times(at.running, 1 / at.target.schedulers), at.scheduler_failures),
+        lost_of_met,
+        lambda at: _of_a_scheduler(at.scheduler_failures, at),
         "failures a day x schedulers / machines x running / schedulers x share lost",
         "open jobs are known to somebody else",
     ),
     Cause(
         "A zone is cut off",
         r"zone",
-        (r"lost.*share", r"share.*lost"),
-        lambda at: times(
-            at.running, (ZONE_LOSSES_A_YEAR[0] / DAYS_A_YEAR, ZONE_LOSSES_A_YEAR[1] / DAYS_A_YEAR)
-        ),
-        "zones lost a year / 365 x running x share lost",
+        lost_of_running,
+        lambda at: _a_year(ZONE_LOSSES_A_YEAR, at),
+        "zones lost a year / 365 x running x share of it lost",
         "jobs of lost workers begin elsewhere",
     ),
     Cause(
         "The regions lose each other",
         r"region",
-        (r"lost.*share", r"share.*lost"),
-        lambda at: times(
-            at.running, (REGION_CUTS_A_YEAR[0] / DAYS_A_YEAR, REGION_CUTS_A_YEAR[1] / DAYS_A_YEAR)
-        ),
-        "cuts a year / 365 x running x share lost",
+        lost_of_running,
+        lambda at: _a_year(REGION_CUTS_A_YEAR, at),
+        "cuts a year / 365 x running x share of it lost",
         "answers wait for the way back",
     ),
     Cause(
-        "Gangs are refused",
-        r"gang",
-        (r"refused.*share", r"share.*refused"),
-        lambda at: times(times((float(at.target.jobs_a_day),) * 2, GANG_JOBS), GANG_SLOTS),
-        "jobs a day x part that are gangs x 32 slots x share refused",
+        "Gangs that a worker could take are refused",
+        r"gangs.*\b40 slots",
+        spared("begun_32"),
+        _gangs,
+        "jobs a day x part that are gangs x 32 slots x share of 32 slots not begun, workers of 40",
         "a tenant's bank reaches a gang's width",
     ),
+    Cause(
+        "Gangs wider than every worker, if workers have 10 slots",
+        r"gangs.*\b10 slots",
+        spared("begun_32"),
+        _gangs,
+        "jobs a day x part that are gangs x 32 slots x share of 32 slots not begun, workers of 10",
+        "none here: no job is spread over workers",
+    ),
     Cause(
         "Urgent work starts late",
-        r"urgent",
-        (r"late.*share", r"share.*late"),
+        r"^target$",
+        first(harmed("urgent_late"), spared("urgent_within_1s")),
         lambda at: times(at.tasks, URGENT_TASKS),
         "tasks a day x part that are urgent x share over 1 s",
         "no push behind a job of minutes",
     ),
     Cause(
-        "Shares across schedulers",
-        r"quota|share|tenant",
-        (r"wrong.*share", r"share.*wrong"),
-        lambda at: at.tasks,
-        "tasks a day x share refused within a quota, or taken over one",
+        "A team's tasks come at one scheduler and are refused within its quota",
+        r"quota.*inside.*one",
+        spared("begun_over_asked"),
+        lambda at: times(at.tasks, UNEVEN_TASKS),
+        "tasks a day x part whose team comes at one scheduler x share not begun",
         "schedulers tell each other what tenants use",
     ),
 )
@@ -207,26 +278,17 @@
         return self.value / self.limit if self.limit else float("inf")
 
 
-def share_of(figure: Figure) -> float | None:
-    """Read a share: a part of 1, or per cent; None where the figure is neither."""
-    value = figure.value / 100 if figure.unit == "%" else figure.value
-    return value if 0 <= value <= 1 and figure.unit in ("", "%", "share", "part") else None
-
-
 def find_share(cause: Cause, runs: Iterable[Run]) -> tuple[str, str, float | None]:
-    """Return run, source and share for a cause: of several runs the one at the most tasks running."""
-    found: list[tuple[float, str, str, float]] = []
-    for run in runs:
-        if not re.search(cause.run, run.name, re.I):
-            continue
-        for key, figure in run.figures.items():
-            if any(re.search(p, key, re.I) for p in cause.shares) and (share := share_of(figure)) is not None:
-                found.append((run.sizes.get("running", 0.0), run.name, run.source, share))
-                break
+    """Return run, source and share for a cause: of several runs a real one, then that with most running."""
+    found = [
+        ((run.source == "real", run.sizes.get("running", 0.0), share), run)
+        for run in runs
+        if re.search(cause.run, run.name, re.I) and (share := cause.read(run)) is not None
+    ]
     if not found:
         return "", "", None
-    _, name, source, share = max(found, key=lambda f: f[0])
-    return name, source, share
+    (_, _, share), run = max(found, key=lambda f: f[0])
+    return run.name, run.source, share
 
 
 def rank(result: Result, target: Target = TARGET) -> list[Harm]:
--- a/hazellead/lab/capacity/table.py
+++ b/hazellead/lab/capacity/table.py
@@ -41,6 +41,8 @@
     ("kB", "MB"): 0.001,
     ("KB", "MB"): 0.001,
     ("B", "MB"): 1e-6,
+    ("bytes", "B"): 1.0,
+    ("KiB", "B"): 1024.0,
     ("descriptors", ""): 1.0,
     ("tasks", ""): 1.0,
     ("KB/s", "B/s"): 1e3,
@@ -210,6 +212,10 @@
         ("scheduler", "decisions", "cpu"): target.core_share * 1e6,
         ("scheduler", "control", "bytes"): target.traffic_b,
         ("scheduler", f"control, {PROGRESS}", "bytes"): target.traffic_b,
+        ("member", "", "cpu"): target.core_share * 1e6,
+        ("member", "", "memory"): target.memory_mb,
+        # What all members say, all members hear: both ways together are twice what one says on average.
+        ("member", "", "bytes_out"): target.traffic_b / 2,
         ("configuration", "", "in_force"): target.in_force_s,
     }
 
@@ -223,8 +229,10 @@
     quantity: str
 
 
-def name_of(role: str, quantity: str) -> Name:
+def name_of(role: str, quantity: str, unit: str = "") -> Name:
     """Find role, part and quantity in the words of both; words of no known part make a part of their own."""
+    if (role, quantity, unit) in _SWEPT:
+        return _SWEPT[role, quantity, unit]
     words = [w for w in re.split(r"[\s./:]+", f"{role} {quantity}") if w]
     head, rest = words[0], words[1:]
     known = next((w for w in rest if w in QUANTITIES), "")
@@ -256,6 +264,8 @@
         "tenants": target.tenants,
         "schedulers": target.schedulers,
         "members": target.schedulers,
+        "origins": target.schedulers,
+        "changes": target.changes_a_day / 1440,  # a minute
         "gang": target.gang,
     }
     if axis not in sizes:
@@ -289,12 +299,19 @@
             return None
         return self.line.at(self.size * multiple)
 
+    def measured(self) -> list[float] | None:
+        """Return what was measured at the target's size itself, if it is one of the sizes."""
+        for point in self.sweep.points:
+            if self.size and point.values and abs(point.size - self.size) <= CLOSE * self.size:
+                return [v * self.factor for v in point.values]
+        return None
+
 
 def slopes(result: Result) -> list[Slope]:
     """Fit every sweep, in the tables' order."""
     found = []
     for sweep in result.sweeps:
-        name = name_of(sweep.role, sweep.quantity)
+        name = name_of(sweep.role, sweep.quantity, sweep.unit)
         factor, unit = in_unit(name.quantity, 1.0, sweep.unit)
         line, fault = None, ""
         try:
@@ -375,6 +392,20 @@
     return judge(figure.value, figure.limit)
 
 
+# What sweeps in virtual time are of. Their memory is traced, of a scheduler's state alone; what changes of
+# the list cost a scheduler is no figure of discovery itself.
+_SWEPT = {
+    ("scheduler", "decisions_cpu", "us/s"): Name("scheduler", "decisions", "cpu"),
+    ("scheduler", "memory", "bytes"): Name("scheduler", "decisions", "state_bytes"),
+    ("configuration", "decisions_cpu", "us/s"): Name("configuration", "", "cpu"),
+    ("member", "facts", "facts"): Name("member", "", "state"),
+    ("member", "snapshot", "bytes"): Name("member", "", "state_bytes"),
+}
+# Axes along which a line leads to the target, the first first. Along others more than the one size grows:
+# what runs grows with the gangs' width, too.
+_LEADING = ("workers", "running", "starts", "tenants", "schedulers", "members", "changes")
+
+
 def figure_name(run: Run, key: str) -> Name | None:
     """Say what a figure of a run at the target is of; None where it is none of the table's quantities."""
     progress = "progress" in run.name
@@ -421,7 +452,7 @@
     """Return the table: every row that is asked for, and one for whatever else there is."""
     played, fitted, bounds = target_figures(result), slopes(result), limits()
     names = {Name(p.role, p.part, q) for p in PARTS for q in p.quantities}
-    names |= set(played) | {s.name for s in fitted}
+    names |= set(played) | {s.name for s in fitted if s.name.quantity in QUANTITIES}
     found = []
     for name in sorted(names, key=_order):
         part = next(
@@ -462,9 +493,15 @@
         figure, run = played[name]
         value, unit = in_unit(name.quantity, figure.value, figure.unit)
         return value, None, unit, f"run `{run.name}`, {run.source}", figure.note
-    for slope in sorted(mine, key=lambda s: s.sweep.source != "real"):
-        if slope.there and (there := slope.at(1.0)) is not None:
+    leading = [s for s in mine if s.there and s.sweep.axis in _LEADING]
+    for slope in sorted(leading, key=lambda s: (s.sweep.source != "real", _LEADING.index(s.sweep.axis))):
+        if (there := slope.at(1.0)) is not None:
             return *there, slope.unit, f"line along {slope.sweep.axis}, {slope.sweep.source}", ""
+    for slope in leading:
+        if (values := slope.measured()) is not None:
+            low, high = min(values), max(values)
+            source = f"the target's size itself, along {slope.sweep.axis}, {slope.sweep.source}"
+            return sum(values) / len(values), (high - low) / 2, slope.unit, source, slope.fault
     unit = QUANTITIES.get(name.quantity, ("", ""))[1]
     return None, None, unit, "", "only with others held elsewhere" if mine else ""
 
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -308,7 +308,27 @@
     assert (
         table.target_size("running", {}) == 4200 and table.target_size("workers", {"schedulers": 1.0}) == 490
     )
-    assert table.target_size("changes", {}) is None
+    assert table.target_size("loss", {}) is None
+
+
+def test_a_bent_sweep_gives_what_was_measured_at_the_targets_size_itself() -> None:
+    row = rows_of(sample())["member", "", "bytes_out"]
+    assert (
+        row.value == 8100
+        and row.source.startswith("the target's size itself")
+        and row.note.startswith("bent")
+    )
+    assert row.verdict is table.Verdict.HOLDS  # half of 19 KB a second
+
+
+def test_memory_traced_of_a_schedulers_state_is_not_its_process_memory() -> None:
+    result = Result()
+    line = {s: [s * 1000] for s in (500.0, 1050.0, 4200.0, 8400.0)}
+    held = {k: v for k, v in SIZES.items() if k != "running"}
+    result.sweep("scheduler", "memory", "bytes", "running", "hollow", line, **held)
+    found = rows_of(result)
+    assert found["scheduler", "decisions", "state_bytes"].value == pytest.approx(4_200_000)
+    assert found["scheduler", "", "memory"].verdict is table.Verdict.NOT_MEASURED
 
 
 def test_what_breaks_first_comes_first() -> None:
@@ -333,27 +353,50 @@
     assert load_.scheduler_restarts == pytest.approx(150 * 9 / 499)
 
 
-def harmed(**shares: tuple[str, float]) -> Result:
+def played(**runs: dict[str, float]) -> Result:
+    """A result of runs by name, with figures that are parts of 1 or counts."""
     result = Result()
-    for name, (figure, share) in shares.items():
-        result.run(name, "real", {"running": 4200.0}, {figure: Figure(share, "")})
+    for name, figures in runs.items():
+        sizes = {"running": 4200.0}
+        result.run(name.replace("_", " "), "real", sizes, {k: Figure(v, "") for k, v in figures.items()})
     return result
 
 
 def test_misses_are_ranked_by_the_tasks_they_harm_and_those_not_measured_come_last() -> None:
     found = ranking.rank(
-        harmed(
-            restart=("lost_share", 1.0),
-            gang=("refused_share", 0.99),
-            urgent=("late_share", 0.0),
-            zone=("lost_share", 1.0),
+        played(
+            restarted={"met": 50, "met_served": 5, "met_open": 0, "met_failed": 45},
+            gangs_of_32_40_slots={"begun_32": 0.01},
+            target={"urgent_within_1s": 1.0},
+            zone_cut_off={"met": 700, "met_served": 350, "met_failed": 350},
         )
     )
-    assert [h.title.split()[0] for h in found[:4]] == ["Gangs", "A", "A", "Urgent"]
-    restart = found[1]
-    assert restart.tasks == pytest.approx((3500 / 86_400 * 150 / 9 * 150 * 9 / 499, 4200 / 9 * 150 * 9 / 499))
-    assert found[0].tasks == pytest.approx((3500 * 0.01 * 32 * 0.99, 3500 * 0.1 * 32 * 0.99))
-    assert found[3].tasks == (0, 0) and all(h.tasks is None for h in found[4:])
+    assert [h.title.split(" ")[:2] for h in found[:4]] == [
+        ["Gangs", "that"],
+        ["A", "scheduler"],
+        ["A", "zone"],
+        ["Urgent", "work"],
+    ]
+    gangs, restart, zone, urgent = found[:4]
+    assert gangs.tasks == pytest.approx((3500 * 0.01 * 32 * 0.99, 3500 * 0.1 * 32 * 0.99))
+    mean_running = 3500 / 86_400 * 150
+    assert restart.share == pytest.approx(0.9)
+    assert restart.tasks == pytest.approx(
+        (mean_running / 9 * 150 * 9 / 499 * 0.9, 4200 / 9 * 150 * 9 / 499 * 0.9)
+    )
+    assert zone.tasks == pytest.approx((mean_running * 2 / 365 / 12, 4200 * 5 / 365 / 12))
+    assert urgent.tasks == (0, 0) and all(h.tasks is None for h in found[4:])
+
+
+def test_a_real_run_comes_before_a_hollow_one_and_what_tells_no_share_is_passed_over() -> None:
+    result = Result()
+    for source, late in (("hollow", 0.9), ("real", 0.2)):
+        result.run("target", source, {}, {"urgent_late": Figure(late, "of tasks")})  # type: ignore[arg-type]
+    urgent = next(h for h in ranking.rank(result) if h.title.startswith("Urgent"))
+    assert (urgent.share, urgent.source) == (0.2, "real")
+    result.runs[1].figures["urgent_late"] = Figure(0.2, "s")
+    urgent = next(h for h in ranking.rank(result) if h.title.startswith("Urgent"))
+    assert (urgent.share, urgent.source) == (0.9, "hollow")
 
 
 def test_limits_that_are_passed_are_listed_by_how_far() -> None:
@@ -364,7 +407,7 @@
 
 
 def test_each_kind_of_failure_says_whether_it_was_measured() -> None:
-    result = harmed(killed=("lost_share", 1.0), regions=("lost_share", 0.0))
+    result = played(scheduler_killed={"met": 1}, regions_cut={"met": 0})
     found = {f.kind: f.measured for f in failures.failures(result.runs)}
     assert len(found) == 8
     assert {k for k, measured in found.items() if measured} == {
