--- a/hazellead/lab/capacity/failures.py
+++ b/hazellead/lab/capacity/failures.py
@@ -11,7 +11,10 @@
     ZONE_LOSSES_A_YEAR,
     Load,
 )
-from hazellead.lab.capacity.result import Run
+from hazellead.lab.capacity.result import Figure, Run
+
+_HARM = r"met|tasks_|run_twice|deaths$"
+_BACK = r"seconds_until_service|in_time_(before|while|after)|begun_(inside|outside|after)|agreed|alike"
 
 
 @dataclass(slots=True, frozen=True)
@@ -24,6 +27,14 @@
     run: str  # pattern of the runs' names
     found: tuple[Run, ...] = ()
 
+    def shown(self, run: Run) -> dict[str, Figure]:
+        """Return what a run tells of the harm."""
+        return {k: f for k, f in run.figures.items() if re.match(_HARM, k)}
+
+    def back(self, run: Run) -> dict[str, Figure]:
+        """Return what a run tells of service afterwards."""
+        return {k: f for k, f in run.figures.items() if re.match(_BACK, k)}
+
     @property
     def measured(self) -> bool:
         """Say whether a run played it."""
--- a/hazellead/lab/capacity/ranking.py
+++ b/hazellead/lab/capacity/ranking.py
@@ -119,20 +119,24 @@
     return read
 
 
+# What figures of a failure are called: the tasks that it met, and those of them that came to no harm.
+_MET = (("met", ("met_served", "met_open")), ("tasks_open", ("tasks_served", "tasks_still_open")))
+
+
 def lost_of_met(run: Run) -> float | None:
-    """Read which part of the tasks that a failure met was lost: all but those served or still open."""
-    figures = run.figures
-    if "met" not in figures or not figures["met"].value:
-        return harmed("lost_share")(run)
-    left = sum(figures[k].value for k in ("met_served", "met_open") if k in figures)
-    return max(0.0, 1 - left / figures["met"].value)
+    """Read which part of the tasks that a failure met came to harm: all but those served or still open."""
+    for met, spared_keys in _MET:
+        if met in run.figures and run.figures[met].value:
+            left = sum(run.figures[k].value for k in spared_keys if k in run.figures)
+            return max(0.0, 1 - left / run.figures[met].value)
+    return None
 
 
 def lost_of_running(run: Run) -> float | None:
     """Read which part of all that ran was lost in a failure that met some of it."""
     lost, running = lost_of_met(run), run.sizes.get("running", 0.0)
     if lost is None or "met" not in run.figures or not running:
-        return lost
+        return lost  # where all open tasks are told, they are what ran
     return min(1.0, lost * run.figures["met"].value / running)
 
 
@@ -212,18 +216,18 @@
     ),
     Cause(
         "Gangs that a worker could take are refused",
-        r"gangs.*\b40 slots",
+        r"^gangs of 32, 40 slots, load [\d.]+$",
         spared("begun_32"),
         _gangs,
-        "jobs a day x part that are gangs x 32 slots x share of 32 slots not begun, workers of 40",
+        "jobs a day x part that are gangs x 32 slots x share of 32 slots not begun, idle workers of 40",
         "a tenant's bank reaches a gang's width",
     ),
     Cause(
         "Gangs wider than every worker, if workers have 10 slots",
-        r"gangs.*\b10 slots",
+        r"^gangs, 10 slots, load 0.1$",
         spared("begun_32"),
         _gangs,
-        "jobs a day x part that are gangs x 32 slots x share of 32 slots not begun, workers of 10",
+        "jobs a day x part that are gangs x 32 slots x share of 32 slots not begun, idle workers of 10",
         "none here: no job is spread over workers",
     ),
     Cause(
--- a/hazellead/lab/capacity/table.py
+++ b/hazellead/lab/capacity/table.py
@@ -397,6 +397,7 @@
 _SWEPT = {
     ("scheduler", "decisions_cpu", "us/s"): Name("scheduler", "decisions", "cpu"),
     ("scheduler", "memory", "bytes"): Name("scheduler", "decisions", "state_bytes"),
+    ("scheduler", "control", "B/s"): Name("scheduler", "control", "bytes"),
     ("configuration", "decisions_cpu", "us/s"): Name("configuration", "", "cpu"),
     ("member", "facts", "facts"): Name("member", "", "state"),
     ("member", "snapshot", "bytes"): Name("member", "", "state_bytes"),
@@ -408,6 +409,9 @@
 
 def figure_name(run: Run, key: str) -> Name | None:
     """Say what a figure of a run at the target is of; None where it is none of the table's quantities."""
+    if run.name == "changes":
+        in_force = key in ("settings_in_force_most", "list_in_force_most")
+        return Name("configuration", "", "in_force") if in_force else None
     progress = "progress" in run.name
     if key in _PLAIN:
         part, quantity = _PLAIN[key]
@@ -426,12 +430,12 @@
 def target_figures(result: Result) -> dict[Name, tuple[Figure, Run]]:
     """Return the figures of runs at the target's size by name; the real before the hollow, the earlier first.
 
-    Kinds of message that belong to one part are added up.
+    Kinds of message that belong to one part are added up; of kinds of change the slowest counts.
     """
     found: dict[Name, tuple[Figure, Run]] = {}
     for run in sorted(result.runs, key=lambda r: r.source != "real"):
         if (
-            not run.name.startswith("target")
+            not re.match("target|changes$", run.name)
             or not {"workers", "running"} <= set(run.sizes)
             or not at_target(run.sizes)
         ):
@@ -441,10 +445,9 @@
                 continue
             held = found.setdefault(name, (figure, run))
             if held[1] is run and held[0] is not figure and held[0].unit == figure.unit:
-                found[name] = (
-                    Figure(held[0].value + figure.value, figure.unit, held[0].limit, held[0].note),
-                    run,
-                )
+                both = (held[0].value, figure.value)
+                value = max(both) if name.quantity == "in_force" else sum(both)
+                found[name] = (Figure(value, figure.unit, held[0].limit, held[0].note), run)
     return found
 
 
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -331,6 +331,22 @@
     assert found["scheduler", "", "memory"].verdict is table.Verdict.NOT_MEASURED
 
 
+def test_of_the_kinds_of_change_the_slowest_counts() -> None:
+    figures = {
+        "settings_in_force_most": Figure(0.4, "s"),
+        "list_in_force_most": Figure(6.0, "s"),
+        "cpu": Figure(0.5, "of a core"),
+    }
+    result = Result()
+    result.run("changes", "real", SIZES, figures)
+    found = rows_of(result)
+    assert found["configuration", "", "in_force"].value == 6
+    assert found["configuration", "", "in_force"].verdict is table.Verdict.FAILS
+    assert (
+        found["scheduler", "", "cpu"].verdict is table.Verdict.NOT_MEASURED
+    )  # looks at the console are in it
+
+
 def test_what_breaks_first_comes_first() -> None:
     result, sizes = Result(), (60.0, 120.0, 490.0, 1000.0)
     result.sweep("scheduler", "cpu", "µs/s", "workers", "hollow", {s: [s * 10] for s in sizes})
@@ -353,31 +369,29 @@
     assert load_.scheduler_restarts == pytest.approx(150 * 9 / 499)
 
 
-def played(**runs: dict[str, float]) -> Result:
+def played(runs: dict[str, dict[str, float]]) -> Result:
     """A result of runs by name, with figures that are parts of 1 or counts."""
     result = Result()
     for name, figures in runs.items():
-        sizes = {"running": 4200.0}
-        result.run(name.replace("_", " "), "real", sizes, {k: Figure(v, "") for k, v in figures.items()})
+        result.run(name, "real", {"running": 4200.0}, {k: Figure(v, "") for k, v in figures.items()})
     return result
 
 
 def test_misses_are_ranked_by_the_tasks_they_harm_and_those_not_measured_come_last() -> None:
     found = ranking.rank(
         played(
-            restarted={"met": 50, "met_served": 5, "met_open": 0, "met_failed": 45},
-            gangs_of_32_40_slots={"begun_32": 0.01},
-            target={"urgent_within_1s": 1.0},
-            zone_cut_off={"met": 700, "met_served": 350, "met_failed": 350},
+            {
+                "restarted": {"met": 50, "met_served": 5, "met_open": 0, "met_failed": 45},
+                "gangs of 32, 40 slots, load 0.1": {"begun_32": 0.01},
+                "gangs of 32, 40 slots, load 0.1, one scheduler": {"begun_32": 0.0},
+                "target": {"urgent_within_1s": 1.0},
+                "killed": {"tasks_open": 50, "tasks_served": 0, "tasks_still_open": 0},
+                "zone cut off": {"met": 700, "met_served": 350, "met_failed": 350},
+            }
         )
     )
-    assert [h.title.split(" ")[:2] for h in found[:4]] == [
-        ["Gangs", "that"],
-        ["A", "scheduler"],
-        ["A", "zone"],
-        ["Urgent", "work"],
-    ]
-    gangs, restart, zone, urgent = found[:4]
+    gangs, restart, zone, killed, urgent = found[:5]
+    assert [h.run.split()[0] for h in found[:5]] == ["gangs", "restarted", "zone", "killed", "target"]
     assert gangs.tasks == pytest.approx((3500 * 0.01 * 32 * 0.99, 3500 * 0.1 * 32 * 0.99))
     mean_running = 3500 / 86_400 * 150
     assert restart.share == pytest.approx(0.9)
@@ -385,7 +399,7 @@
         (mean_running / 9 * 150 * 9 / 499 * 0.9, 4200 / 9 * 150 * 9 / 499 * 0.9)
     )
     assert zone.tasks == pytest.approx((mean_running * 2 / 365 / 12, 4200 * 5 / 365 / 12))
-    assert urgent.tasks == (0, 0) and all(h.tasks is None for h in found[4:])
+    assert killed.share == 1 and urgent.tasks == (0, 0) and all(h.tasks is None for h in found[5:])
 
 
 def test_a_real_run_comes_before_a_hollow_one_and_what_tells_no_share_is_passed_over() -> None:
@@ -407,7 +421,7 @@
 
 
 def test_each_kind_of_failure_says_whether_it_was_measured() -> None:
-    result = played(scheduler_killed={"met": 1}, regions_cut={"met": 0})
+    result = played({"scheduler killed": {"met": 1}, "regions-cut": {"met": 0}})
     found = {f.kind: f.measured for f in failures.failures(result.runs)}
     assert len(found) == 8
     assert {k for k, measured in found.items() if measured} == {
