--- a/hazellead/lab/capacity/ranking.py
+++ b/hazellead/lab/capacity/ranking.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from hazellead.lab.capacity.result import Figure, Result, Run
-from hazellead.lab.capacity.table import Row, Verdict
+from hazellead.lab.capacity.table import Row, Verdict, figure_name, source_of
 from hazellead.lab.capacity.target import TARGET, Target
 
 Range = tuple[float, float]
@@ -308,16 +308,19 @@
 
 
 def passed(rows: Iterable[Row], runs: Iterable[Run]) -> list[Passed]:
-    """Return the limits that are passed, by how many times."""
+    """Return the limits that are passed, by how many times; a run's figure that is a row counts once."""
+    failing = [r for r in rows if r.verdict is Verdict.FAILS]
+    told = {(r.source, r.name) for r in failing}
     found = [
         Passed(f"{r.title}: {r.what}", r.value, r.limit, r.unit)
-        for r in rows
-        if r.verdict is Verdict.FAILS and r.value is not None and r.limit is not None
+        for r in failing
+        if r.value is not None and r.limit is not None
     ]
     found += [
-        Passed(f"run `{run.name}`: {key}", f.value, f.limit, f.unit)
+        Passed(f"run `{run.name}`, {run.source}: {key}", f.value, f.limit, f.unit)
         for run in runs
         for key, f in run.figures.items()
         if f.limit is not None and f.value > f.limit
+        if (source_of(run), figure_name(run, key)) not in told
     ]
     return sorted(found, key=lambda p: (-p.factor, p.title))
--- a/hazellead/lab/capacity/table.py
+++ b/hazellead/lab/capacity/table.py
@@ -427,6 +427,11 @@
     return name if name.quantity in QUANTITIES and name.role in {p.role for p in PARTS} else None
 
 
+def source_of(run: Run) -> str:
+    """Name a run as the source of a row."""
+    return f"run `{run.name}`, {run.source}"
+
+
 def target_figures(result: Result) -> dict[Name, tuple[Figure, Run]]:
     """Return the figures of runs at the target's size by name; the real before the hollow, the earlier first.
 
@@ -495,7 +500,9 @@
     if name in played:
         figure, run = played[name]
         value, unit = in_unit(name.quantity, figure.value, figure.unit)
-        return value, None, unit, f"run `{run.name}`, {run.source}", figure.note
+        # A note may have figures of its own, in the unit that the run tells.
+        note = figure.note if unit == figure.unit or not unit else ""
+        return value, None, unit, source_of(run), note
     leading = [s for s in mine if s.there and s.sweep.axis in _LEADING]
     for slope in sorted(leading, key=lambda s: (s.sweep.source != "real", _LEADING.index(s.sweep.axis))):
         if (there := slope.at(1.0)) is not None:
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -390,8 +390,8 @@
             }
         )
     )
-    gangs, restart, zone, killed, urgent = found[:5]
-    assert [h.run.split()[0] for h in found[:5]] == ["gangs", "restarted", "zone", "killed", "target"]
+    gangs, restart, killed, zone, urgent = found[:5]
+    assert [h.run.split()[0] for h in found[:5]] == ["gangs", "restarted", "killed", "zone", "target"]
     assert gangs.tasks == pytest.approx((3500 * 0.01 * 32 * 0.99, 3500 * 0.1 * 32 * 0.99))
     mean_running = 3500 / 86_400 * 150
     assert restart.share == pytest.approx(0.9)
@@ -417,7 +417,7 @@
     result = sample()
     found = ranking.passed(table.rows(result), result.runs)
     assert found[0].factor == float("inf") and found == sorted(found, key=lambda p: -p.factor)
-    assert any(p.value == 70 and p.limit == 64 for p in found)
+    assert [p.limit for p in found if p.value == 70] == [64]  # the row, and not the run's figure once more
 
 
 def test_each_kind_of_failure_says_whether_it_was_measured() -> None:
