Hold the slow client to making room itself, not to being timed out

In test_room_is_made_by_those_who_miss_least the last connection was refused, since the slow one had not been slow for 1 s, and the 408 that the test waits for came from the time limit of 2 s. And the 30 clients of test_making_room_looks_at_few_connections close before the server ends, which waited 1 s for them.

--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -180,7 +180,9 @@
 
 def test_room_is_made_by_those_who_miss_least() -> None:
     async def case() -> None:
-        limits = Limits(client_connections=3, first_byte=timedelta(0), linger=timedelta(0))
+        # The slow one has to make room itself, and not to be timed out after a refusal of the newest.
+        limits = Limits(client_connections=3, first_byte=timedelta(0), slow=timedelta(0), linger=timedelta(0),
+                        client_read=timedelta(days=1))
         server, port = serving(limits)
         got = {}
         for name, data in (("slow", b"GET"), ("kept", request("GET", "/a", "b")), ("silent", b"")):
@@ -217,6 +219,8 @@
         for connection in server.connections:
             connection.__class__ = Watched
         assert server._make_room() and len({id(c) for c in looked}) == 1
+        for _, writer in ends:
+            writer.close()
         await server.finish()
 
     run(case())
