--- a/hazellead/lab/capacity/ranking.py
+++ b/hazellead/lab/capacity/ranking.py
@@ -159,6 +159,7 @@
     exposed: Callable[[Load], Range]  # tasks a day
     formula: str
     mechanism: str
+    less: str = ""  # pattern of a run whose share is taken off: what happens anyway
 
 
 def _of_a_scheduler(events: float, at: Load) -> Range:
@@ -200,7 +201,15 @@
     ),
     Cause(
         "A zone is cut off",
-        r"zone",
+        r"zone.cut",
+        lost_of_running,
+        lambda at: _a_year(ZONE_LOSSES_A_YEAR, at),
+        "zones lost a year / 365 x running x share of it lost",
+        "jobs of lost workers begin elsewhere",
+    ),
+    Cause(
+        "A zone loses power",
+        r"zone without power",
         lost_of_running,
         lambda at: _a_year(ZONE_LOSSES_A_YEAR, at),
         "zones lost a year / 365 x running x share of it lost",
@@ -240,11 +249,12 @@
     ),
     Cause(
         "A team's tasks come at one scheduler and are refused within its quota",
-        r"quota.*inside.*one",
+        r"quota, inside, one$",
         spared("begun_over_asked"),
         lambda at: times(at.tasks, UNEVEN_TASKS),
-        "tasks a day x part whose team comes at one scheduler x share not begun",
+        "tasks a day x part whose team comes at one scheduler x share not begun, over that of an even team",
         "schedulers tell each other what tenants use",
+        r"quota, inside, even$",
     ),
 )
 
@@ -284,15 +294,22 @@
 
 def find_share(cause: Cause, runs: Iterable[Run]) -> tuple[str, str, float | None]:
     """Return run, source and share for a cause: of several runs a real one, then that with most running."""
+    some = list(runs)
+    off = 0.0
+    if cause.less:
+        shares = [cause.read(run) for run in some if re.search(cause.less, run.name, re.I)]
+        if (least := min((x for x in shares if x is not None), default=None)) is None:
+            return "", "", None
+        off = least
     found = [
         ((run.source == "real", run.sizes.get("running", 0.0), share), run)
-        for run in runs
+        for run in some
         if re.search(cause.run, run.name, re.I) and (share := cause.read(run)) is not None
     ]
     if not found:
         return "", "", None
     (_, _, share), run = max(found, key=lambda f: f[0])
-    return run.name, run.source, share
+    return run.name, run.source, max(0.0, share - off)
 
 
 def rank(result: Result, target: Target = TARGET) -> list[Harm]:
--- a/hazellead/lab/capacity/table.py
+++ b/hazellead/lab/capacity/table.py
@@ -161,7 +161,15 @@
         "",
         "Member of an installation that talks",
         "`peers/`, `learning/`, `snapshots/`",
-        ("state", "state_bytes", *_FLOW, "cpu", "memory", "descriptors"),
+        ("state", "state_bytes", *_FLOW, "memory", "descriptors"),
+    ),
+    Part("member", "telling", "Member: telling facts", "`learning/pupil.py`, `learning/store.py`", ("cpu",)),
+    Part(
+        "member",
+        "learning",
+        "Member: taking facts over",
+        "`learning/pupil.py`, `learning/merge.py`",
+        ("cpu",),
     ),
     Part(
         "discovery",
@@ -212,7 +220,8 @@
         ("scheduler", "decisions", "cpu"): target.core_share * 1e6,
         ("scheduler", "control", "bytes"): target.traffic_b,
         ("scheduler", f"control, {PROGRESS}", "bytes"): target.traffic_b,
-        ("member", "", "cpu"): target.core_share * 1e6,
+        ("member", "telling", "cpu"): target.core_share * 1e6,
+        ("member", "learning", "cpu"): target.core_share * 1e6,
         ("member", "", "memory"): target.memory_mb,
         # What all members say, all members hear: both ways together are twice what one says on average.
         ("member", "", "bytes_out"): target.traffic_b / 2,
@@ -328,14 +337,16 @@
 
 
 def plot_groups(slopes: list[Slope]) -> dict[str, list[Slope]]:
-    """Return the sweeps of each plot, by file name: one role along one axis."""
+    """Return the sweeps of each plot, by file name: one role along one axis, the table's quantities."""
+
+    known = [s for s in slopes if s.name.quantity in QUANTITIES]
 
     def key(s: Slope) -> tuple[str, str]:
         return s.name.role, s.sweep.axis
 
     return {
         re.sub(r"[^a-z0-9]+", "-", f"{role} {axis}".lower()).strip("-") + ".svg": list(some)
-        for (role, axis), some in groupby(sorted(slopes, key=key), key)
+        for (role, axis), some in groupby(sorted(known, key=key), key)
     }
 
 
@@ -399,6 +410,8 @@
     ("scheduler", "memory", "bytes"): Name("scheduler", "decisions", "state_bytes"),
     ("scheduler", "control", "B/s"): Name("scheduler", "control", "bytes"),
     ("configuration", "decisions_cpu", "us/s"): Name("configuration", "", "cpu"),
+    ("member", "telling_cpu", "us/s"): Name("member", "telling", "cpu"),
+    ("member", "learning_cpu", "us/s"): Name("member", "learning", "cpu"),
     ("member", "facts", "facts"): Name("member", "", "state"),
     ("member", "snapshot", "bytes"): Name("member", "", "state_bytes"),
 }
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -402,6 +402,15 @@
     assert killed.share == 1 and urgent.tasks == (0, 0) and all(h.tasks is None for h in found[5:])
 
 
+def test_what_refuses_an_even_teams_tasks_too_is_not_laid_to_its_unevenness() -> None:
+    def team(**begun: float) -> ranking.Harm:
+        result = played({f"quota, inside, {k}": {"begun_over_asked": v} for k, v in begun.items()})
+        return next(h for h in ranking.rank(result) if h.title.startswith("A team"))
+
+    assert team(one=0.70, even=0.85).share == pytest.approx(0.15)
+    assert team(one=0.86, even=0.85).share == 0 and team(one=0.7).share is None
+
+
 def test_a_real_run_comes_before_a_hollow_one_and_what_tells_no_share_is_passed_over() -> None:
     result = Result()
     for source, late in (("hollow", 0.9), ("real", 0.2)):
