--- a/hazellead/lab/capacity/members.py
+++ b/hazellead/lab/capacity/members.py
@@ -50,12 +50,12 @@
         """Return the members."""
         return list(self.mesh.peers.values())
 
-    def warm(self) -> None:
-        """Let as many tasks run as will, and their facts be there to be told."""
+    def warm(self, seconds: float = 0.0) -> None:
+        """Let as many tasks run as will, or for so long, so that there are facts to be told."""
         for one in self.alone:
             one.come()
         work = self.shape.work
-        self.time.run_us(int((1 + 1.2 * work.cv) * work.mean_s * US))
+        self.time.run_us(int((seconds or (1 + 1.2 * work.cv) * work.mean_s) * US))
 
     def join(self, *, learn: bool = False) -> None:
         """Let them find each other and tell; ``learn``: and take over, whose processor time is counted."""
