--- a/hazellead/lab/worker.py
+++ b/hazellead/lab/worker.py
@@ -185,12 +185,14 @@
             word()
 
     def report_every(self, us: int) -> None:
-        """Let what runs, and what will, report so often from now on."""
+        """Let what runs, and what will, report so often from now on; what runs now not in step."""
         self._progress_us = us
         for run in self._running.values():
             if run.reports:
                 run.reports.cancel()
-            self._report_later(run)
+            wait = self._rng.random() * us
+            if wait < run.done_us - self._time.now_us():
+                run.reports = self._time.after(wait, self._report, run)
 
     def cancel(self, identity: str) -> None:
         """Stop a job that its scheduler has given up."""
--- a/tests/test_capacity_hollow.py
+++ b/tests/test_capacity_hollow.py
@@ -238,3 +238,19 @@
     before = {key for key, a in alone.running.items() if a.worker == 3}
     alone.time.run_us(10 * US)
     assert {key for key, a in alone.running.items() if a.worker == 3} <= before
+
+
+def test_running_tasks_report_as_often_as_asked_and_never_after_their_end() -> None:
+    world = Installation(replace(SMALL, seconds=5.0))
+    world.start()
+    world.time.run_us(5 * US)
+    running = world.taken() * 80
+    for model in world.models.values():
+        model.report_every(US // 10)
+    for site in world.sites:
+        site.meter.reset()
+    world.time.run_us(US // 2)
+    heard = sum(site.meter.counts.get("JobBegan", 0) for site in world.sites)
+    assert 2 * running < heard < 6 * running + 10
+    world.time.run_us(30 * US)
+    assert world.checker.close(world.time.now_us()) == [] and not any(s.scheduler.held for s in world.sites)
