Let the first job of a width in: a buffer holds one job at least

Cause: buffers are sized once a mean run time for the widest job seen so far; with tasks of minutes a gang wider than the buffer overflowed it until the next sizing, at each of nine schedulers anew. Seen in virtual time: of gangs of 32 on idle workers of 40 slots 58 % were refused with nine schedulers, none with one; the first width refused unseen was 4 or 5, none once seen.

Change: a job's arrival grows its tenant's buffer to its width. What it pays, and what is let in after it, is as before. The test fails without the line for 8 and 32 slots.

--- a/hazellead/decide/choice.py
+++ b/hazellead/decide/choice.py
@@ -240,7 +240,7 @@
 
     def _arrive(self, event: api.Arrival) -> None:
         s, at = self.settings, min(event.tenant, len(self.tenants) - 1)
-        tenant = self.tenants[at]
+        tenant, gate = self.tenants[at], self.tenants[at].throttle
         self.probes = min(self.probes + PROBE_SPEND / max(s.probe_price, PROBE_SPEND / 10), 100.0)
         # A client's later tries have less time left: its aim runs from the first, and may be over already.
         whole = self.whole[event.job_class] = max(self.whole[event.job_class], event.remaining_us)
@@ -251,18 +251,18 @@
         if s.classes[event.job_class].late_worth > 0:
             last = max(useful, deadline - int(RESERVE * self.run_us[event.job_class]))
         r = Request(event.request, event.job_class, event.slots, at, self.now, useful, last, event.hint_us)
+        self.requests[r.id] = r
+        gate.resize(gate.bank, max(gate.buffer, event.slots))  # a buffer holds one job at least, however wide
         if event.made:  # the process whose place ours has taken has let it in
             for w in (self.workers[m.worker] for m in event.made if m.worker in self.workers):
                 self._touch(w)
-            self.requests[r.id] = r
             self.flying |= r.adopt(event.made, self.workers, self.now, self.slots)
-        elif last > self.now and tenant.throttle.offer(event.slots):
-            self.requests[r.id] = r
+        elif last > self.now and gate.offer(event.slots):
             tenant.held.append(r)
             self.lates = min(self.lates + LATE_SHARE, LATE_MOST)
         else:
             self._answer(r)
-        self.bound_at = self.now if tenant.throttle.tokens <= 0 else self.bound_at
+        self.bound_at = self.now if gate.tokens <= 0 else self.bound_at
 
     def _defer(self, r: Request) -> None:
         """Let a held job out of slack wait for what jobs in time leave, as few may, or refuse it."""
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -537,6 +537,24 @@
     assert sent == [2, 1]
 
 
+@pytest.mark.parametrize("slots", [8.0, 32.0])
+def test_the_first_job_of_a_width_is_let_in_and_paid_for_by_what_others_leave(slots: float) -> None:
+    """It overflowed a buffer sized for one slot, and the next sizing was a mean run time away: minutes."""
+    minutes = tuple(replace(c, aim_us=1_000_000, deadline_us=600_000_000, stretch=1.0) for c in BASE.classes)
+    teams = (api.Tenant(1.0, 2.0),) * 20  # each has a buffer for two slots, and a bank of three
+    referee = Referee(replace(BASE, classes=minutes, tenants=teams, reports=False, tells_start=True))
+    referee.play(fleet(4))
+    referee.play(api.Arrival(1, 2, 600_000_000, slots=slots), after_us=20_000)
+    assert not referee.books[1].answer
+    for _ in range(200):
+        referee.play(api.TimerFired(0), after_us=4000)
+    assert len(referee.books[1].sent) == 1 and not referee.books[1].answer
+    # The next of its width has to wait for tokens of its own, as any job has.
+    referee.play(*(api.Arrival(n, 2, 600_000_000, slots=slots) for n in range(2, 12)), after_us=4000)
+    refused = [b for b in referee.books.values() if b.answer]
+    assert refused and len(refused) < 10
+
+
 @pytest.mark.parametrize(("way_us", "attempts"), [(1_000, 2), (400_000, 1)])
 def test_where_work_queues_no_second_copies_add_to_it(way_us: int, attempts: int) -> None:
     """In an overload nearly every job began late, and copies sent for that were a tenth more to queue."""
