--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -377,6 +377,22 @@
     return result
 
 
+def test_runs_beyond_the_target_are_those_of_its_multiples_alone() -> None:
+    result = sample()
+    result.run(
+        "target, one scheduler", "hollow", SIZES | {"schedulers": 1.0}, {"open": Figure(4200.0, "", 640.0)}
+    )
+    assert [(run.name, key) for run, key, _, _ in table.larger_runs(result)] == [("target x2", "urgent_late")]
+
+
+def test_a_falling_line_is_not_followed_below_nothing() -> None:
+    result = Result()
+    line = {s: [1000 - s] for s in (60.0, 120.0, 490.0, 900.0)}
+    result.sweep("scheduler", "cpu", "µs/s", "workers", "hollow", line)
+    (slope,) = table.slopes(result)
+    assert slope.at(1.0) and slope.at(10.0) is None and table.breaks(result)[0].values[2] is None
+
+
 def test_misses_are_ranked_by_the_tasks_they_harm_and_those_not_measured_come_last() -> None:
     found = ranking.rank(
         played(
