--- a/hazellead/lab/capacity/__main__.py
+++ b/hazellead/lab/capacity/__main__.py
@@ -266,6 +266,12 @@
 
 
 def _conclude(result: Result) -> None:
+    for pair in table.pairs(result):
+        print(
+            f"           {pair.run}, {pair.key}: real {pair.real:.4g}, hollow {pair.hollow:.4g}, "
+            f"apart {pair.apart:+.1%}",
+            flush=True,
+        )
     counts = table.tally(row.verdict for row in table.rows(result))
     runs = table.tally(
         table.judge_figure(f) for r in result.runs for f in r.figures.values() if f.limit is not None
--- a/hazellead/lab/capacity/page.py
+++ b/hazellead/lab/capacity/page.py
@@ -23,6 +23,7 @@
     "failures",
     "ranking",
     "breaks",
+    "compare",
     "gaps",
 )
 _PART = re.compile(r"^<!-- generated: (\w+) -->\n(.*?)^<!-- end -->$", re.M | re.S)
@@ -100,6 +101,7 @@
         "rows": rows,
         "slopes": slopes,
         "breaks": table.breaks(result),
+        "pairs": table.pairs(result),
         "larger": table.larger_runs(result),
         "failures": failures.failures(result.runs),
         "ranked": ranking.rank(result),
--- a/hazellead/lab/capacity/table.py
+++ b/hazellead/lab/capacity/table.py
@@ -583,6 +583,38 @@
     return found
 
 
+@dataclass(slots=True, frozen=True)
+class Pair:
+    """A figure that a real and a hollow run of one name and size both have."""
+
+    run: str
+    key: str
+    unit: str
+    real: float
+    hollow: float
+
+    @property
+    def apart(self) -> float:
+        """Return by what part of the larger of both the hollow one is above the real one."""
+        most = max(abs(self.real), abs(self.hollow))
+        return (self.hollow - self.real) / most if most else 0.0
+
+
+def pairs(result: Result) -> list[Pair]:
+    """Return what can be compared: runs of one name whose workers, schedulers and starts are alike."""
+    found = []
+    for real in (r for r in result.runs if r.source == "real"):
+        for hollow in (r for r in result.runs if r.source == "hollow" and r.name == real.name):
+            sizes = [(real.sizes.get(k), hollow.sizes.get(k)) for k in ("workers", "schedulers", "starts")]
+            if any(a is None or b is None or abs(a - b) > CLOSE * max(a, b) for a, b in sizes):
+                continue
+            for key, figure in real.figures.items():
+                if key in hollow.figures:
+                    found.append(Pair(real.name, key, figure.unit, figure.value, hollow.figures[key].value))
+            break  # of several seeds the first
+    return found
+
+
 def tally(verdicts: Iterable[Verdict]) -> dict[Verdict, int]:
     """Count verdicts."""
     counts = dict.fromkeys(Verdict, 0)
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -377,6 +377,16 @@
     return result
 
 
+def test_real_and_hollow_are_compared_at_one_size_only() -> None:
+    result = Result()
+    result.run("target", "real", SIZES, {"taken": Figure(0.8, ""), "cpu": Figure(1.0, "")})
+    result.run("target", "hollow", SIZES | {"schedulers": 1.0}, {"taken": Figure(0.1, "")})
+    result.run("target", "hollow", SIZES, {"taken": Figure(0.6, ""), "steps": Figure(1.0, "")})
+    (pair,) = table.pairs(result)
+    assert (pair.key, pair.real, pair.hollow) == ("taken", 0.8, 0.6) and pair.apart == pytest.approx(-0.25)
+    assert "| 0.8 | 0.6 | -0.25 |" in page.parts(result)["compare"]
+
+
 def test_runs_beyond_the_target_are_those_of_its_multiples_alone() -> None:
     result = sample()
     result.run(
