--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -377,6 +377,32 @@
     return result
 
 
+def test_real_and_hollow_are_compared_at_one_size_only() -> None:
+    result = Result()
+    result.run("target", "real", SIZES, {"taken": Figure(0.8, ""), "cpu": Figure(1.0, "")})
+    result.run("target", "hollow", SIZES | {"schedulers": 1.0}, {"taken": Figure(0.1, "")})
+    result.run("target", "hollow", SIZES, {"taken": Figure(0.6, ""), "steps": Figure(1.0, "")})
+    (pair,) = table.pairs(result)
+    assert (pair.key, pair.real, pair.hollow) == ("taken", 0.8, 0.6) and pair.apart == pytest.approx(-0.25)
+    assert "| 0.8 | 0.6 | -0.25 |" in page.parts(result)["compare"]
+
+
+def test_runs_beyond_the_target_are_those_of_its_multiples_alone() -> None:
+    result = sample()
+    result.run(
+        "target, one scheduler", "hollow", SIZES | {"schedulers": 1.0}, {"open": Figure(4200.0, "", 640.0)}
+    )
+    assert [(run.name, key) for run, key, _, _ in table.larger_runs(result)] == [("target x2", "urgent_late")]
+
+
+def test_a_falling_line_is_not_followed_below_nothing() -> None:
+    result = Result()
+    line = {s: [1000 - s] for s in (60.0, 120.0, 490.0, 900.0)}
+    result.sweep("scheduler", "cpu", "µs/s", "workers", "hollow", line)
+    (slope,) = table.slopes(result)
+    assert slope.at(1.0) and slope.at(10.0) is None and table.breaks(result)[0].values[2] is None
+
+
 def test_misses_are_ranked_by_the_tasks_they_harm_and_those_not_measured_come_last() -> None:
     found = ranking.rank(
         played(
