--- a/hazellead/lab/capacity/__main__.py
+++ b/hazellead/lab/capacity/__main__.py
@@ -189,15 +189,17 @@
         """Keep the paths."""
         self.page, self.folder = docs / "CAPACITY.md", docs / "capacity"
         self.result = self.folder / "result.json"
+        self.before = self.folder / "before.json"  # from before the mechanisms that the page tells of
 
     def read(self) -> Result:
         """Return the last good result, or an empty one before the first run; raises ResultError."""
         return load(self.result) if self.result.exists() else Result()
 
     def text(self, result: Result) -> str:
-        """Return the page with its parts made anew; raises BadError."""
+        """Return the page with its parts made anew; raises BadError, or ResultError for the one before."""
+        before = load(self.before) if self.before.exists() else None
         try:
-            return page.insert(self.page.read_text(), page.parts(result))
+            return page.insert(self.page.read_text(), page.parts(result, before))
         except (OSError, UnicodeDecodeError) as error:
             raise BadError(f"{self.page.name}: {error}") from None
         except page.PageError as error:
--- a/hazellead/lab/capacity/page.py
+++ b/hazellead/lab/capacity/page.py
@@ -22,6 +22,7 @@
     "runs",
     "failures",
     "ranking",
+    "mechanism",
     "breaks",
     "compare",
     "gaps",
@@ -87,8 +88,35 @@
     return found
 
 
-def parts(result: Result) -> dict[str, str]:
-    """Render every generated part."""
+@dataclass(slots=True, frozen=True)
+class Compared:
+    """One figure of a run before the mechanisms that the page tells of, and now."""
+
+    run: str
+    source: str
+    seed: int
+    figure: str
+    unit: str
+    before: float
+    now: float
+
+
+def compared(before: Result, result: Result) -> list[Compared]:
+    """Return what has changed in the runs that an earlier result has as well, at the same sizes and seed."""
+    found = []
+    for old in before.runs:
+        for run in result.runs:
+            if (old.name, old.source, old.seed, old.sizes) == (run.name, run.source, run.seed, run.sizes):
+                found += [
+                    Compared(run.name, run.source, run.seed, key, f.unit, old.figures[key].value, f.value)
+                    for key, f in run.figures.items()
+                    if key in old.figures and number(old.figures[key].value) != number(f.value)
+                ]
+    return found
+
+
+def parts(result: Result, before: Result | None = None) -> dict[str, str]:
+    """Render every generated part; ``before`` is a result from before the mechanisms told of on the page."""
     rows, slopes = table.rows(result), table.slopes(result)
     figures = [
         table.judge_figure(f) for run in result.runs for f in run.figures.values() if f.limit is not None
@@ -112,6 +140,7 @@
         "counted_runs": table.tally(figures),
         "broken": sum(len(r.broken) for r in result.runs),
         "plots": table.plot_groups(slopes),
+        "compared": compared(before, result) if before else [],
         "multiples": table.MULTIPLES,
     }
     environment = _environment()
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -130,6 +130,28 @@
     assert not any(b"date>" in data for data in first.values())
 
 
+def test_what_has_changed_since_an_earlier_result_is_shown_for_the_same_runs_alone(tmp_path: Path) -> None:
+    before, now = Result(), Result()
+    for result, served, failed in ((before, 0.0, 467.0), (now, 467.0, 0.0)):
+        figures = {"tasks_served": Figure(served, "tasks"), "tasks_failed": Figure(failed, "tasks", 0.0),
+                   "tasks_open": Figure(467.0, "tasks")}
+        result.run("replaced", "real", {"schedulers": 9}, figures)
+        result.run("killed", "real", {"schedulers": served}, figures)  # at another size
+        result.run("restarted", "real", {"schedulers": 9}, figures, seed=int(served))
+    assert "Not measured" in page.parts(now)["mechanism"]
+    rows = page.parts(now, before)["mechanism"].splitlines()[2:]
+    assert rows == ["| replaced, real, seed 1 | tasks_served | 0 tasks | 467 tasks |",
+                    "| replaced, real, seed 1 | tasks_failed | 467 tasks | 0 tasks |"]
+    # The page is made with the file that lies beside the result; a garbled one is told of in one line.
+    docs = laid(tmp_path)
+    now.save(docs / "capacity/result.json")
+    before.save(docs / "capacity/before.json")
+    assert main(["--render"], docs=docs) == 0
+    assert rows[0] in (docs / "CAPACITY.md").read_text()
+    (docs / "capacity/before.json").write_text("{")
+    assert main(["--check"], docs=docs) == 2
+
+
 def test_tables_keep_their_columns_whatever_a_result_says() -> None:
     for name, text in page.parts(sample()).items():
         width = 0
