--- a/hazellead/lab/capacity/failures.py
+++ b/hazellead/lab/capacity/failures.py
@@ -71,7 +71,7 @@
         Failure(
             "A scheduler is replaced",
             f"in place of the {_a_day(load.scheduler_restarts)} above",
-            "no connection ends; the old process's open jobs are answered as at a restart",
+            "no connection ends; jobs that would outlast the old process pass on, once a worker has taken them",
             r"replac",
         ),
         Failure(
