--- a/hazellead/lab/capacity/hollow_clients.py
+++ b/hazellead/lab/capacity/hollow_clients.py
@@ -30,14 +30,15 @@
     tenant: str
     work_s: float
     phase: str
-    sent_ns: int = 0
+    sent_ns: int = 0  # submitted
+    asked_ns: int = 0  # written to a connection, from when on the scheduler has its time
     ended_ns: int = 0
     end: str = ""  # served, refused, failed, not let in, lost, forged; "" while it is open
 
     def row(self) -> list[Any]:
         """Write it as a record."""
         return [self.identity, self.scheduler, self.job_class, self.tenant, self.work_s, self.phase,
-                self.sent_ns, self.ended_ns, self.end]
+                self.sent_ns, self.asked_ns, self.ended_ns, self.end]
 
 
 @dataclass(slots=True)
@@ -177,6 +178,7 @@
         task.sent_ns = task.sent_ns or time.monotonic_ns()
         if line is None:
             kept = False
+            # A request cannot be sent before its connection is up: until then no time of it runs.
             try:
                 async with asyncio.timeout(CONNECT_S):
                     line = await open_to(self.plan.schedulers[task.scheduler])
@@ -189,6 +191,7 @@
             "X-Expires-In": f"{int(self.plan.deadline_s * 1000)}m"}, body)
         self.counts.note(task.scheduler, "request", inward=True, size=len(data), body=len(body))
         asked = time.monotonic_ns()
+        task.asked_ns = task.asked_ns or asked
         try:
             message, size = await line.ask(data)
         except OSError:
