One clock on both sides of the workers' tests

test_the_first_word_on_an_attempts_fate_counts_and_only_that failed once with eight cores busy (RESET where nothing had ended). The attempt's end was reckoned by the system's clock, and what is left of it by a Clock of the transport's own. A Clock reads wall and monotonic time one after the other; a process that is set aside in between has a Clock that is late by the pause, and told the stand-in 5,000,0xx us where 5,000,000 at most are asserted. In the program all times are of one clock. What is asserted is as it was.

--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections import Counter
 from contextlib import suppress
-from datetime import UTC, datetime, timedelta
+from datetime import timedelta
 from typing import Any
 
 import pytest
@@ -28,6 +28,9 @@
            b"202": None, b"": Outcome.RESET}
 
 
+CLOCK = Clock()  # one for both sides, as in the program: two differ by a pause between their readings
+
+
 class Core:
     """Stands in for the scheduler."""
 
@@ -51,7 +54,7 @@
         self.ended.append((attempt.outcome, result))
 
     def attempt(self, number: int = 0) -> Attempt:
-        now = datetime.now(UTC)
+        now = CLOCK.now()
         job = Job("77", "/post-payment?a=b", b"body", 0, 0, timedelta(seconds=5))
         return Attempt(self, 1, number, 1, job, now, now + timedelta(seconds=5))  # type: ignore[arg-type]
 
@@ -73,7 +76,7 @@
 
 
 def transport(port: int, **limits: Any) -> HttpWorkers:
-    return HttpWorkers(One(port), Limits(**limits), Clock())
+    return HttpWorkers(One(port), Limits(**limits), CLOCK)
 
 
 @STEADY
