--- a/hazellead/lab/capacity/ranking.py
+++ b/hazellead/lab/capacity/ranking.py
@@ -69,6 +69,11 @@
         """Return how many of a day's restarts meet a scheduler, if all machines are restarted alike."""
         return self.target.restarts_a_day * self.target.schedulers / self.machines
 
+    @property
+    def scheduler_restarts_range(self) -> Range:
+        """Return the same, up to all: the users reckon with each restart of the day as a scheduler's."""
+        return self.scheduler_restarts, float(self.target.restarts_a_day)
+
     @property
     def scheduler_failures(self) -> float:
         """Return how many of a day's failures meet a scheduler, if all machines fail alike."""
@@ -162,7 +167,7 @@
     less: str = ""  # pattern of a run whose share is taken off: what happens anyway
 
 
-def _of_a_scheduler(events: float, at: Load) -> Range:
+def _of_a_scheduler(events: float | Range, at: Load) -> Range:
     return times(times(at.running, 1 / at.target.schedulers), events)
 
 
@@ -179,16 +184,16 @@
         "A scheduler is restarted as planned",
         r"restart",
         lost_of_met,
-        lambda at: _of_a_scheduler(at.scheduler_restarts, at),
-        "restarts a day x schedulers / machines x running / schedulers x share lost",
+        lambda at: _of_a_scheduler(at.scheduler_restarts_range, at),
+        "restarts a day that meet a scheduler x running / schedulers x share lost",
         "open jobs pass to the next process",
     ),
     Cause(
         "A scheduler is replaced by a second process",
         r"replac",
         lost_of_met,
-        lambda at: _of_a_scheduler(at.scheduler_restarts, at),
-        "restarts a day x schedulers / machines x running / schedulers x share lost",
+        lambda at: _of_a_scheduler(at.scheduler_restarts_range, at),
+        "restarts a day that meet a scheduler x running / schedulers x share lost",
         "open jobs pass to the next process",
     ),
     Cause(
