--- a/hazellead/net/server.py
+++ b/hazellead/net/server.py
@@ -448,9 +448,14 @@
                 c.time_out()
 
     def end_idle(self) -> None:
-        """End clients' connections that carry nothing; to be called again while more may become so."""
+        """End clients' connections that carry nothing; to be called again while more may become so.
+
+        Guards a call-back, or a request, on a new connection: its first bytes come after the accept.
+        """
+        now = self.clock.now()
         for c in list(self.connections):
-            if not c.lasting:
+            new = c.state is State.SILENT and now - c.since < self.limits.first_byte
+            if not c.lasting and not new:
                 c.end_if_idle()
 
     def close_idle(self) -> None:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -515,3 +515,24 @@
         await new.finish()
 
     run(case())
+
+
+def test_one_that_has_just_come_may_say_what_it_came_for_before_it_counts_as_idle() -> None:
+    """A call-back on a new connection, as the end of idle ones falls between its connect and first byte."""
+    async def case() -> None:
+        server, port = serving(Limits())
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        await until(lambda: server.connections)
+        server.end_idle()
+        writer.write(request("GET", "/a", "b", {"Connection": "close"}))
+        assert (await http_message(reader))[2] == b"ok"
+        silent, other = await asyncio.open_connection("127.0.0.1", port)
+        await until(lambda: server.connections)
+        await asyncio.sleep(Limits().first_byte.total_seconds())
+        server.end_idle()
+        assert await silent.read() == b""
+        writer.close()
+        other.close()
+        await server.finish()
+
+    run(case())
