--- /dev/null
+++ b/hazellead/lab/capacity/failures.py
@@ -0,0 +1,101 @@
+"""The kinds of failure in the last line of the target, and the runs that played them. Pure."""
+
+import re
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from hazellead.lab.capacity.ranking import (
+    REGION_CUTS_A_YEAR,
+    SWITCH_DAYS,
+    SWITCH_MACHINES,
+    ZONE_LOSSES_A_YEAR,
+    Load,
+)
+from hazellead.lab.capacity.result import Run
+
+
+@dataclass(slots=True, frozen=True)
+class Failure:
+    """One kind: how often, what it does by the program's design, and the runs that show it."""
+
+    kind: str
+    often: str
+    harm: str
+    run: str  # pattern of the runs' names
+    found: tuple[Run, ...] = ()
+
+    @property
+    def measured(self) -> bool:
+        """Say whether a run played it."""
+        return bool(self.found)
+
+
+def _a_day(number: float) -> str:
+    return f"{number:.2g} a day"
+
+
+def failures(runs: Iterable[Run]) -> list[Failure]:
+    """Return all kinds with their runs; how often follows from the target where machines are met alike."""
+    load, some = Load(), list(runs)
+    zones, cuts = ZONE_LOSSES_A_YEAR, REGION_CUTS_A_YEAR
+    kinds = (
+        Failure(
+            "A scheduler's machine fails",
+            _a_day(load.scheduler_failures),
+            "its open jobs are lost; those that may have run and may not run twice need a person",
+            r"kill",
+        ),
+        Failure(
+            "A worker's machine fails",
+            _a_day(load.worker_failures),
+            "its tasks are lost; a class that may be repeated is sent elsewhere, from its last saved state",
+            r"worker.*(fail|kill|lost)|(fail|kill|lost).*worker",
+        ),
+        Failure(
+            "A scheduler is restarted",
+            _a_day(load.scheduler_restarts),
+            "jobs that outlast the 3.6 s after SIGTERM are answered failed or refused",
+            r"restart",
+        ),
+        Failure(
+            "A scheduler is replaced",
+            f"in place of the {_a_day(load.scheduler_restarts)} above",
+            "no connection ends; the old process's open jobs are answered as at a restart",
+            r"replac",
+        ),
+        Failure(
+            "A worker is restarted or replaced",
+            _a_day(load.worker_restarts),
+            "it drains: what it has goes on to its end, nothing new is sent; it comes back cold",
+            r"worker.*(restart|replac|drain)|drain",
+        ),
+        Failure(
+            "A rack or switch goes",
+            f"every {SWITCH_DAYS[0]:g} to {SWITCH_DAYS[1]:g} days, "
+            f"{SWITCH_MACHINES[0]:g} to {SWITCH_MACHINES[1]:g} machines (assumed)",
+            "as so many workers' machines at once, silent rather than refused",
+            r"rack|switch",
+        ),
+        Failure(
+            "A zone goes",
+            f"{zones[0]:g} to {zones[1]:g} a year (assumed)",
+            "a sixth of the workers falls silent; their tasks are lost",
+            r"zone",
+        ),
+        Failure(
+            "The regions lose each other",
+            f"{cuts[0]:g} to {cuts[1]:g} a year (assumed), for minutes",
+            "answers from across are lost to their schedulers; members go on with what they know",
+            r"region",
+        ),
+    )
+
+    def mine(f: Failure) -> tuple[Run, ...]:
+        return tuple(
+            r
+            for r in some
+            if re.search(f.run, r.name, re.I)
+            and (("worker" in f.run) == bool(re.search("worker|drain", r.name, re.I)))
+        )
+
+    return [Failure(f.kind, f.often, f.harm, f.run, mine(f)) for f in kinds]
--- /dev/null
+++ b/hazellead/lab/capacity/plots.py
@@ -0,0 +1,95 @@
+"""Plots of the sweeps, the same bytes each time from the same result."""
+
+import io
+import re
+from itertools import groupby
+
+import matplotlib.style
+from matplotlib.axes import Axes
+from matplotlib.backends.backend_svg import FigureCanvasSVG
+from matplotlib.figure import Figure
+
+from hazellead.lab.capacity.table import QUANTITIES, Slope, limits
+
+# Ids and dates would differ from run to run, and fonts from machine to machine: text stays text.
+_STYLE = {
+    "svg.hashsalt": "capacity",
+    "svg.fonttype": "none",
+    "font.family": ["DejaVu Sans"],
+    "font.size": 8,
+    "axes.grid": True,
+    "grid.alpha": 0.3,
+    "axes.axisbelow": True,
+}
+_NO_DATE = {"Date": None, "Creator": None}
+ACROSS = 3
+
+
+def groups(slopes: list[Slope]) -> dict[str, list[Slope]]:
+    """Return the sweeps of each plot, by file name: one role along one axis."""
+
+    def key(s: Slope) -> tuple[str, str]:
+        return s.name.role, s.sweep.axis
+
+    return {
+        re.sub(r"[^a-z0-9]+", "-", f"{role} {axis}".lower()).strip("-") + ".svg": list(some)
+        for (role, axis), some in groupby(sorted(slopes, key=key), key)
+    }
+
+
+def draw(slopes: list[Slope]) -> dict[str, bytes]:
+    """Return the plots' files."""
+    with matplotlib.style.context(["default", _STYLE]):
+        return {name: _plot(some) for name, some in groups(slopes).items()}
+
+
+def _plot(some: list[Slope]) -> bytes:
+    panels = [list(g) for _, g in groupby(some, lambda s: s.name)]
+    across = min(ACROSS, len(panels))
+    down = -(-len(panels) // across)
+    figure = Figure(figsize=(3.4 * across, 2.6 * down), layout="constrained")
+    FigureCanvasSVG(figure)
+    axes = figure.subplots(down, across, squeeze=False).flat
+    for panel, slopes in zip(axes, panels, strict=False):
+        _panel(panel, slopes)
+    for empty in list(axes)[len(panels) :]:
+        empty.set_visible(False)
+    out = io.BytesIO()
+    figure.savefig(out, format="svg", metadata=_NO_DATE)
+    return b"".join(line.rstrip() + b"\n" for line in out.getvalue().splitlines())
+
+
+def _panel(panel: Axes, slopes: list[Slope]) -> None:
+    name = slopes[0].name
+    what = QUANTITIES.get(name.quantity, (name.quantity, ""))[0]
+    for number, s in enumerate(slopes):
+        colour = f"C{number}"
+        for point in s.sweep.points:
+            factor = s.factor
+            panel.plot(
+                [point.size] * len(point.values),
+                [v * factor for v in point.values],
+                "o",
+                color=colour,
+                markersize=3,
+            )
+        if s.line is not None:
+            ends = [s.line.sizes[0], s.line.sizes[-1]]
+            panel.plot(
+                ends,
+                [s.line.at(x)[0] for x in ends],
+                "-" if s.line.straight else ":",
+                color=colour,
+                linewidth=1,
+                label=", ".join([s.sweep.source] + ([] if s.line.straight else ["not straight"])),
+            )
+        if s.size is not None:
+            panel.axvline(s.size, color="0.6", linewidth=0.8, linestyle="--")
+    if (limit := limits().get((name.role, name.part, name.quantity))) is not None:
+        panel.axhline(limit, color="C3", linewidth=0.8)
+    panel.set_title(" ".join(w for w in (name.role, name.part, what) if w))
+    panel.set_xlabel(slopes[0].sweep.axis)
+    panel.set_ylabel(slopes[0].unit)
+    panel.set_ylim(bottom=0)
+    if panel.get_legend_handles_labels()[0]:
+        panel.legend(fontsize=6)
--- /dev/null
+++ b/hazellead/lab/capacity/ranking.py
@@ -0,0 +1,257 @@
+"""Which miss does most harm at the target's size: tasks lost or late a day, then limits passed. Pure.
+
+The target's figures, times the share that a run has shown lost or late. What the users have not told stands
+here as named ranges; a harm is a range then, and the ranking goes by its upper end.
+"""
+
+import re
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+
+from hazellead.lab.capacity.result import Figure, Result, Run
+from hazellead.lab.capacity.table import Row, Verdict
+from hazellead.lab.capacity.target import TARGET, Target
+
+Range = tuple[float, float]
+
+DAY_S = 86_400.0
+DAYS_A_YEAR = 365.0
+# Assumed, since the users have not told; each is a question on the page.
+TASKS_A_JOB: Range = (1.0, 32.0)
+GANG_JOBS: Range = (0.01, 0.10)  # part of the jobs that ask for many slots at once
+GANG_SLOTS = 32.0
+URGENT_TASKS: Range = (0.01, 0.10)  # part of the tasks that are urgent
+ZONE_LOSSES_A_YEAR: Range = (2.0, 5.0)
+REGION_CUTS_A_YEAR: Range = (3.0, 10.0)
+SWITCH_DAYS: Range = (30.0, 60.0)  # between two racks or switches that go
+SWITCH_MACHINES: Range = (8.0, 40.0)  # behind one
+
+
+@dataclass(slots=True, frozen=True)
+class Load:
+    """What follows from the target and the ranges above."""
+
+    target: Target = TARGET
+
+    @property
+    def machines(self) -> float:
+        """Return the workers' and the schedulers' machines together."""
+        return float(self.target.workers + self.target.schedulers)
+
+    @property
+    def run_s(self) -> float:
+        """Return a task's mean run time at the peak, by Little's law."""
+        return self.target.running / self.target.starts
+
+    @property
+    def tasks(self) -> Range:
+        """Return the tasks a day."""
+        return self.target.jobs_a_day * TASKS_A_JOB[0], self.target.jobs_a_day * TASKS_A_JOB[1]
+
+    @property
+    def mean_starts(self) -> Range:
+        """Return the mean of the starts a second over the day."""
+        return self.tasks[0] / DAY_S, self.tasks[1] / DAY_S
+
+    @property
+    def running(self) -> Range:
+        """Return the tasks running in the mean of the day, and at the peak."""
+        return self.mean_starts[0] * self.run_s, float(self.target.running)
+
+    @property
+    def peak_s(self) -> Range:
+        """Return for how many seconds a day's tasks last when they all start at the peak's rate."""
+        return self.tasks[0] / self.target.starts, self.tasks[1] / self.target.starts
+
+    @property
+    def scheduler_restarts(self) -> float:
+        """Return how many of a day's restarts meet a scheduler, if all machines are restarted alike."""
+        return self.target.restarts_a_day * self.target.schedulers / self.machines
+
+    @property
+    def scheduler_failures(self) -> float:
+        """Return how many of a day's failures meet a scheduler, if all machines fail alike."""
+        return self.target.failures_a_day * self.target.schedulers / self.machines
+
+    @property
+    def worker_failures(self) -> float:
+        """Return how many of a day's failures meet a worker."""
+        return self.target.failures_a_day - self.scheduler_failures
+
+    @property
+    def worker_restarts(self) -> float:
+        """Return how many of a day's restarts meet a worker."""
+        return self.target.restarts_a_day - self.scheduler_restarts
+
+
+def times(some: Range, factor: float | Range) -> Range:
+    """Multiply two ranges of numbers that are not negative."""
+    low, high = factor if isinstance(factor, tuple) else (factor, factor)
+    return some[0] * low, some[1] * high
+
+
+@dataclass(slots=True, frozen=True)
+class Cause:
+    """One miss: what a day exposes to it, and the figure of a run that says which share of that is harmed."""
+
+    title: str
+    run: str  # pattern of the run's name
+    shares: Sequence[str]  # patterns of the figure's name: a share (or per cent) of what was exposed
+    exposed: Callable[[Load], Range]  # tasks a day
+    formula: str
+    mechanism: str
+
+
+CAUSES = (
+    Cause(
+        "A scheduler is restarted as planned",
+        r"restart",
+        (r"lost.*share", r"share.*lost"),
+        lambda at: times(times(at.running, 1 / at.target.schedulers), at.scheduler_restarts),
+        "restarts a day x schedulers / machines x running / schedulers x share lost",
+        "open jobs pass to the next process",
+    ),
+    Cause(
+        "A scheduler is replaced by a second process",
+        r"replac",
+        (r"lost.*share", r"share.*lost"),
+        lambda at: times(times(at.running, 1 / at.target.schedulers), at.scheduler_restarts),
+        "restarts a day x schedulers / machines x running / schedulers x share lost",
+        "open jobs pass to the next process",
+    ),
+    Cause(
+        "A scheduler fails",
+        r"kill",
+        (r"lost.*share", r"share.*lost"),
+        lambda at: times(times(at.running, 1 / at.target.schedulers), at.scheduler_failures),
+        "failures a day x schedulers / machines x running / schedulers x share lost",
+        "open jobs are known to somebody else",
+    ),
+    Cause(
+        "A zone is cut off",
+        r"zone",
+        (r"lost.*share", r"share.*lost"),
+        lambda at: times(
+            at.running, (ZONE_LOSSES_A_YEAR[0] / DAYS_A_YEAR, ZONE_LOSSES_A_YEAR[1] / DAYS_A_YEAR)
+        ),
+        "zones lost a year / 365 x running x share lost",
+        "jobs of lost workers begin elsewhere",
+    ),
+    Cause(
+        "The regions lose each other",
+        r"region",
+        (r"lost.*share", r"share.*lost"),
+        lambda at: times(
+            at.running, (REGION_CUTS_A_YEAR[0] / DAYS_A_YEAR, REGION_CUTS_A_YEAR[1] / DAYS_A_YEAR)
+        ),
+        "cuts a year / 365 x running x share lost",
+        "answers wait for the way back",
+    ),
+    Cause(
+        "Gangs are refused",
+        r"gang",
+        (r"refused.*share", r"share.*refused"),
+        lambda at: times(times((float(at.target.jobs_a_day),) * 2, GANG_JOBS), GANG_SLOTS),
+        "jobs a day x part that are gangs x 32 slots x share refused",
+        "a tenant's bank reaches a gang's width",
+    ),
+    Cause(
+        "Urgent work starts late",
+        r"urgent",
+        (r"late.*share", r"share.*late"),
+        lambda at: times(at.tasks, URGENT_TASKS),
+        "tasks a day x part that are urgent x share over 1 s",
+        "no push behind a job of minutes",
+    ),
+    Cause(
+        "Shares across schedulers",
+        r"quota|share|tenant",
+        (r"wrong.*share", r"share.*wrong"),
+        lambda at: at.tasks,
+        "tasks a day x share refused within a quota, or taken over one",
+        "schedulers tell each other what tenants use",
+    ),
+)
+
+
+@dataclass(slots=True, frozen=True)
+class Harm:
+    """One cause with its harm; None where no run has measured the share."""
+
+    title: str
+    run: str
+    source: str
+    share: float | None
+    exposed: Range
+    formula: str
+    mechanism: str
+
+    @property
+    def tasks(self) -> Range | None:
+        """Return the tasks lost or late a day."""
+        return None if self.share is None else times(self.exposed, self.share)
+
+
+@dataclass(slots=True, frozen=True)
+class Passed:
+    """One limit that is passed."""
+
+    title: str
+    value: float
+    limit: float
+    unit: str
+
+    @property
+    def factor(self) -> float:
+        """Return how many times the limit the value is."""
+        return self.value / self.limit if self.limit else float("inf")
+
+
+def share_of(figure: Figure) -> float | None:
+    """Read a share: a part of 1, or per cent; None where the figure is neither."""
+    value = figure.value / 100 if figure.unit == "%" else figure.value
+    return value if 0 <= value <= 1 and figure.unit in ("", "%", "share", "part") else None
+
+
+def find_share(cause: Cause, runs: Iterable[Run]) -> tuple[str, str, float | None]:
+    """Return run, source and share for a cause: of several runs the one at the most tasks running."""
+    found: list[tuple[float, str, str, float]] = []
+    for run in runs:
+        if not re.search(cause.run, run.name, re.I):
+            continue
+        for key, figure in run.figures.items():
+            if any(re.search(p, key, re.I) for p in cause.shares) and (share := share_of(figure)) is not None:
+                found.append((run.sizes.get("running", 0.0), run.name, run.source, share))
+                break
+    if not found:
+        return "", "", None
+    _, name, source, share = max(found, key=lambda f: f[0])
+    return name, source, share
+
+
+def rank(result: Result, target: Target = TARGET) -> list[Harm]:
+    """Return all causes, worst first by the upper end of the tasks harmed; those not measured come last."""
+    load = Load(target)
+    found = []
+    for cause in CAUSES:
+        name, source, share = find_share(cause, result.runs)
+        found.append(
+            Harm(cause.title, name, source, share, cause.exposed(load), cause.formula, cause.mechanism)
+        )
+    return sorted(found, key=lambda h: (h.tasks is None, -(h.tasks[1] if h.tasks else h.exposed[1]), h.title))
+
+
+def passed(rows: Iterable[Row], runs: Iterable[Run]) -> list[Passed]:
+    """Return the limits that are passed, by how many times."""
+    found = [
+        Passed(f"{r.title}: {r.what}", r.value, r.limit, r.unit)
+        for r in rows
+        if r.verdict is Verdict.FAILS and r.value is not None and r.limit is not None
+    ]
+    found += [
+        Passed(f"run `{run.name}`: {key}", f.value, f.limit, f.unit)
+        for run in runs
+        for key, f in run.figures.items()
+        if f.limit is not None and f.value > f.limit
+    ]
+    return sorted(found, key=lambda p: (-p.factor, p.title))
