--- a/hazellead/platform/workers.py
+++ b/hazellead/platform/workers.py
@@ -263,7 +263,8 @@
         written, connection = False, None
         try:
             connection = await self.pool.take(place)
-            if not attempt.may_send():
+            # Its server may meanwhile have been listed at another endpoint: this one is somebody else's.
+            if not attempt.may_send() or self._places.place(attempt.worker) != place:
                 self._end(attempt, Outcome.MOOT)
                 self.pool.give(place, connection)
                 return
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -1014,3 +1014,17 @@
         resets.append(not new)
         referee.end(push.request, 0, api.Outcome.SERVED if new else api.Outcome.RESET)
     assert any(resets) and sum(resets[2:]) <= 3
+
+
+def test_nothing_is_pushed_or_copied_without_a_lease_and_jobs_are_held_or_refused() -> None:
+    referee = Referee()
+    referee.play(fleet(), api.Arrival(1, 0, 5_000_000))
+    referee.play(api.LeaseChanged(held=False))
+    before = len(pushes(referee.log))
+    referee.play(api.Arrival(2, 2, 5_000_000))
+    for _ in range(60):  # a second copy of the first falls due, too
+        referee.play(api.TimerFired(0), after_us=20_000)
+    assert len(pushes(referee.log)) == before and referee.books[2].answer == "answered"
+    referee.play(api.Arrival(3, 2, 5_000_000))
+    referee.play(api.LeaseChanged(held=True), after_us=4_000)
+    assert 3 in {push.request for push in pushes(referee.log)}
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -17,6 +17,7 @@
 
 import pytest
 from loopback import ROOT, HttpWorker, free_port, http_message, http_post, run, until
+from test_discovery import Discovery
 from tornado.testing import bind_unused_port
 
 from hazellead.limits import Limits
@@ -117,6 +118,32 @@
     run(case())
 
 
+@pytest.mark.parametrize("mode", ["subscribe", "automatic"])
+def test_the_list_is_watched_from_the_start_whether_it_is_asked_for_or_pushed(
+    mode: str, tmp_path: Path,
+) -> None:
+    """Settings of lists that come unasked had no watch opened: no drain was ever heard of."""
+    async def case() -> None:
+        port, count = free_port(), Counter[bytes]()
+        worker = HttpWorker("s-1", count, lambda: port)
+        async with worker.serving():
+            known = given(port, worker)["known"]
+            discovery = Discovery(known | {"rev": 2})
+            server = await asyncio.start_server(discovery.serve, "127.0.0.1", 0)
+            address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+            settings = BRIEF | {"membershipMode": mode}
+            async with program(tmp_path, port, worker, discovery=address, settings=settings):
+                await until(lambda: len(discovery.calls) > 1)
+                drained = [target | {"state": "draining"} for target in known["targets"]]
+                discovery.tell({"rev": 3, "all": False, "targets": drained})
+                await until(lambda: len(discovery.calls) > 2)
+                status, headers, _ = await http_post(port, "/post-payment", b"a", HEADERS.format("1"))
+                assert status == 429 and float(headers["retry-after"]) > 0 and not count
+            server.close()
+
+    run(case())
+
+
 def test_a_reload_follows_discovery_elsewhere_and_a_broken_file_changes_nothing(tmp_path: Path) -> None:
     async def case() -> None:
         port, count, asked = free_port(), Counter[bytes](), list[str]()
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import Bundle, RuleBasedStateMachine, consumes, invariant, rule
 from loopback import STEADY, Answers
+from structlog.testing import capture_logs
 
 from hazellead.core.jobs import Attempt, Job
 from hazellead.core.scheduler import Scheduler
@@ -29,6 +30,10 @@
     def __init__(self) -> None:
         self.sent: list[Attempt] = []
         self.given_up: list[Attempt] = []
+        self.expired = False
+
+    def list_expired(self) -> bool:
+        return self.expired
 
     def send(self, attempt: Attempt) -> None:
         assert attempt.may_send(), "sent to a worker that is not open to work"
@@ -250,3 +255,71 @@
             refused_at = ms
             break
     assert reply.final == ["refused"] and refused_at is not None and refused_at < 500
+
+
+def test_nothing_is_sent_without_a_lease_and_held_jobs_go_out_once_it_is_renewed() -> None:
+    time, worker, scheduler = started()
+    worker.expired = True
+    scheduler.submit(job("a"), reply := Answers())
+    time.run(20 * MS)
+    assert not worker.sent and not reply.final
+    worker.expired = False
+    scheduler.listed(api.WorkerList(api.ListKind.CHANGES))  # an answer without news
+    time.run(20 * MS)
+    assert [a.job.identity for a in worker.sent] == ["a"]
+
+
+def test_a_job_without_a_lease_is_refused_in_time_and_says_when_to_come_back() -> None:
+    time, worker, scheduler = started()
+    worker.expired = True
+    refused: list[timedelta] = []
+
+    class Refused(Answers):
+        def refused(self, retry_after: timedelta) -> None:
+            super().refused(retry_after)
+            refused.append(retry_after)
+
+    scheduler.submit(job("a"), reply := Refused())
+    time.run(900 * MS)
+    assert reply.final == ["refused"] and not worker.sent and len(refused) == 1
+    assert timedelta(0) < refused[0] <= timedelta(seconds=1)
+
+
+def test_a_lease_that_runs_out_while_a_connection_comes_up_stops_the_send() -> None:
+    time, worker, scheduler = started()
+    scheduler.submit(job("a"), Answers())
+    time.run(10 * MS)
+    (attempt,) = worker.sent
+    assert attempt.may_send()
+    worker.expired = True
+    assert not attempt.may_send()
+
+
+def test_the_end_of_a_lease_is_one_line_and_its_renewal_another() -> None:
+    time, worker, scheduler = started()
+    time.run(10 * MS)
+    with capture_logs() as logs:
+        worker.expired = True
+        for identity in "ab":
+            scheduler.submit(job(identity), Answers())
+            time.run(50 * MS)
+        worker.expired = False
+        scheduler.listed(api.WorkerList(api.ListKind.CHANGES))
+        time.run(50 * MS)
+    lines = [line["event"] for line in logs if line["event"].startswith("server_list")]
+    assert lines == ["server_list_expired", "server_list_renewed"]
+
+
+@pytest.mark.parametrize("alone", [False, True])
+def test_a_server_that_drained_stays_closed_once_it_is_gone_or_named_no_more(alone: bool) -> None:
+    _, _, scheduler = started()
+    scheduler.settings = replace(scheduler.settings, drain_binds_alone=alone)
+    for kind, entries in (
+        (api.ListKind.CHANGES, (api.WorkerEntry(1, phase=api.Phase.DRAINING),)),
+        (api.ListKind.CHANGES, (api.WorkerEntry(1, phase=api.Phase.GONE),)),
+        (api.ListKind.FULL, (api.WorkerEntry(2),)),
+    ):
+        scheduler.listed(api.WorkerList(kind, entries))
+        assert not scheduler.may_send_to(1) and scheduler.may_send_to(2)
+    scheduler.listed(api.WorkerList(api.ListKind.CHANGES, (api.WorkerEntry(1, started_us=7),)))
+    assert scheduler.may_send_to(1)
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -160,6 +160,30 @@
     run(case())
 
 
+def test_nothing_is_sent_to_a_former_endpoint_once_its_server_is_listed_at_another(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It was removed and listed again while the connection came up; somebody else may listen there now."""
+    connect = streams.connect
+
+    async def late(*given: Any) -> Any:
+        await asyncio.sleep(0.05)
+        return await connect(*given)
+
+    async def case() -> None:
+        monkeypatch.setattr(streams, "connect", late)
+        core, sent = Core(), Counter[bytes]()
+        async with HttpWorker("s-1", sent, lambda: 0).serving() as worker:
+            directory = One(worker.port)
+            workers = HttpWorkers(directory, Limits(), CLOCK)
+            workers.send(core.attempt())
+            directory.port = 1
+            await until(lambda: core.ended)
+            assert core.ended[0][0] is Outcome.MOOT and not sent
+
+    run(case())
+
+
 @pytest.mark.parametrize("window", [100, 2000])
 def test_a_guarded_repeat_is_not_written_past_its_window(
     window: int, monkeypatch: pytest.MonkeyPatch,
