--- a/hazellead/platform/discovery.py
+++ b/hazellead/platform/discovery.py
@@ -39,7 +39,7 @@
 
 # Opening calls that are not answered get more patience each time, up to this power of two: where discovery is
 # slow, a call that is given up before its turn comes is work that it does for nobody.
-_PATIENCE = 4
+_PATIENCE = 2
 _FAILURES = (RefusedError, StreamClosedError, TimeoutError, ListError)
 
 
