--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -5,6 +5,7 @@
 import re
 import time
 from collections.abc import Callable
+from datetime import timedelta
 from typing import Any
 
 import pytest
@@ -64,12 +65,12 @@
 
 
 def watching(
-    check: Check, *answers: Any, known: dict[str, Any] | None = None, seconds: float = 10.0,
+    check: Check, *answers: Any, known: dict[str, Any] | None = None, seconds: float = 10.0, **more: Any,
 ) -> None:
     async def case() -> None:
         port, told, discovery = free_port(), list[api.WorkerList](), Discovery(*answers)
         server = await asyncio.start_server(discovery.serve, "127.0.0.1", port)
-        watch = Watch(("127.0.0.1", port), NAMES, Limits(), known or {}, told.append)
+        watch = Watch(("127.0.0.1", port), NAMES, Limits(), known or {}, told.append, **more)
         await asyncio.wait_for(check(watch, discovery, told), seconds)
         watch.close()
         server.close()
@@ -146,6 +147,69 @@
     watching(check, listing(41), known=listing(41, target("s-1"), whole=True))
 
 
+def test_a_new_process_follows_a_discovery_that_was_set_up_anew_at_once() -> None:
+    """The list from its last life has a higher version: that means nothing to this discovery."""
+    async def whole(watch: Watch, discovery: Discovery, told: list[api.WorkerList]) -> None:
+        watch.subscribe()
+        await until(lambda: len(discovery.calls) >= 2)
+        assert "index=41&" in discovery.calls[0] and "index=3&" in discovery.calls[1]
+        assert [t.kind for t in told] == [api.ListKind.CACHED, api.ListKind.FULL]
+
+    async def changes(watch: Watch, discovery: Discovery, told: list[api.WorkerList]) -> None:
+        watch.subscribe()
+        await until(lambda: len(discovery.calls) >= 3)
+        assert discovery.calls[1] == "/discovery/hosts"  # changes to its list say nothing of the one held
+        assert [t.kind for t in told] == [api.ListKind.CACHED, api.ListKind.FULL]
+        assert not watch.list_expired()
+
+    known = listing(41, target("s-1"), whole=True)
+    watching(whole, listing(3, target("s-2"), whole=True), known=known)
+    watching(changes, listing(3, target("s-3")), listing(3, target("s-2"), whole=True), known=known)
+
+
+def test_a_list_that_another_discovery_has_told_is_not_asked_from() -> None:
+    async def check(watch: Watch, discovery: Discovery, told: list[api.WorkerList]) -> None:
+        watch.subscribe()
+        await until(lambda: len(discovery.calls) >= 1)
+        assert discovery.calls[0] == "/discovery/hosts"
+
+    watching(check, known=listing(41, target("s-1"), whole=True), known_elsewhere=True)
+
+
+def test_the_list_expires_before_the_first_answer_and_not_after_it() -> None:
+    async def check(watch: Watch, discovery: Discovery, told: list[api.WorkerList]) -> None:
+        assert watch.list_expired()
+        watch.subscribe()
+        await watch.first_list(timedelta(seconds=5))
+        assert not watch.list_expired() and len(told) == 2
+
+    watching(check, listing(42), known=listing(41, target("s-1"), whole=True))
+
+
+def test_the_list_held_is_used_where_nobody_listens_at_discoverys_address() -> None:
+    async def case() -> None:
+        known = listing(41, target("s-1"), whole=True)
+        watch = Watch(("127.0.0.1", free_port()), NAMES, Limits(), known, lambda _: None)
+        watch.subscribe()
+        await watch.first_list(timedelta(seconds=5))
+        assert not watch.list_expired()
+        watch.close()
+
+    run(case())
+
+
+@pytest.mark.parametrize("pushed", [False, True])
+def test_a_watch_that_breaks_is_opened_anew_at_once_where_lists_are_pushed(pushed: bool) -> None:
+    """There each moment without a watch counts; elsewhere a fleet must not come back all at once."""
+    async def check(watch: Watch, discovery: Discovery, told: list[api.WorkerList]) -> None:
+        watch.subscribe()
+        await until(lambda: len(discovery.calls) >= 3)
+        assert (discovery.at[2] - discovery.at[1] < 0.2) is pushed
+
+    known = listing(41, target("s-1"), whole=True)
+    watching(check, listing(42), None, listing(42), known=known, pushed=pushed)
+
+
 def test_other_names_are_followed_with_no_call_that_could_fail() -> None:
     async def check(watch: Watch, discovery: Discovery, told: list[api.WorkerList]) -> None:
         watch.subscribe()
