--- a/hazellead/core/lease.py
+++ b/hazellead/core/lease.py
@@ -48,10 +48,11 @@
         """Begin without a lease: a list from before the start proves nothing."""
         self.terms = terms
         self._until = now
+        self._proven: datetime | None = None  # when the list was last known to be current
         self._move_until: datetime | None = None  # while the present discovery has not told its list
         self._may_have_missed = False  # a watch has fallen silent since the last proof
         self._outage = False  # proven to have begun, and no list has been told since
-        self._proven = False  # a list has been told since the start
+        self._crowds_refused_at_once = False  # as this discovery has been seen to do
         self._unserved = 0  # calls in a row that had the longest wait for a turn and were not served
 
     @property
@@ -72,7 +73,7 @@
 
         A former discovery, still followed after a move, does not stand in for the present one's list.
         """
-        self._proven = True
+        self._proven = proven if self._proven is None else max(self._proven, proven)
         self._until = max(self._until, proven + self.terms.contact)
         if by_present_discovery:
             self._move_until = None
@@ -93,14 +94,19 @@
         self._outage = True
         self._extend(at)
 
+    def refused_at_once(self) -> None:
+        """Note that discovery turned a call away without a wait, as it does in a crowd: it can be reached."""
+        self._crowds_refused_at_once = True
+
     def unserved(self, at: datetime) -> None:
         """Note a call that failed after a wait: in an outage, or in a crowd that discovery lets time out.
 
-        The pages do not tell these apart. It counts as an outage that goes on where one had been proven, and
-        after so many in a row that no crowd that discovery can serve within the lease explains them.
+        The pages do not tell these apart. It counts as an outage where one has been proven to have begun,
+        where discovery has turned calls of a crowd away at once, and after so many in a row that no crowd
+        that discovery can serve within the lease explains them.
         """
         self._unserved += 1
-        if self._outage or self._unserved >= _UNSERVED_IN_A_ROW:
+        if self._outage or self._crowds_refused_at_once or self._unserved >= _UNSERVED_IN_A_ROW:
             self._extend(at)
 
     def agent_silent(self, at: datetime) -> None:
@@ -109,7 +115,7 @@
         The agent of discovery there answers such a call at once, but for an outage, in which it learns of no
         change. The call that is made next is answered in the moment of its return.
         """
-        if self._proven:
+        if self._proven is not None:
             self._until = max(self._until, at + self.terms.contact)
 
     def _extend(self, at: datetime) -> None:
@@ -122,9 +128,15 @@
 
     # What ends a lease early.
 
-    def watch_fell_silent(self) -> None:
-        """Note that changes may have been missed: an outage that begins now no longer extends the lease."""
+    def watch_fell_silent(self, made: datetime) -> None:
+        """Note that the call made then, on a watch that was live before, has never been answered.
+
+        Unless a list has come since, changes may have been missed: no outage extends the lease then.
+        """
+        if self._proven is None or self._proven > made:
+            return
         self._may_have_missed = True
+        self._until = min(self._until, self._proven + self.terms.contact)
 
     def watch_lost(self, now: datetime) -> None:
         """Note that a watch ended where changes count without one: the lease ends with the grace."""
--- a/hazellead/platform/discovery.py
+++ b/hazellead/platform/discovery.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass, replace
 from datetime import datetime, timedelta
 from typing import Any
@@ -36,6 +36,10 @@
 class _SilentError(Exception):
     """A call has not been answered in its time: what it should have told has to be asked for anew."""
 
+    def __init__(self, waited: timedelta, asking: "asyncio.Future[Any]") -> None:
+        super().__init__(f"not answered in {waited.total_seconds()} s")
+        self.waited, self.asking = waited, asking
+
 
 # Opening calls that are not answered get more patience each time, up to this power of two: where discovery is
 # slow, a call that is given up before its turn comes is work that it does for nobody.
@@ -50,6 +54,7 @@
     made: datetime
     follows_answer: bool  # the call before it was answered
     continues_watch: bool  # and it goes out on the same connection
+    live: bool = False  # and so did the call before it: discovery has kept the watch
 
 
 class _Source:
@@ -109,7 +114,7 @@
         self._first_list = asyncio.Event()
         self._source = _Source(discovery)
         self._former: _Source | None = None  # the one before, until the present one has told its list
-        self._fetches: set[asyncio.Task[None]] = set()
+        self._others: set[asyncio.Task[None]] = set()  # calls beside the watch
         if known:
             try:
                 given = read_list(known, self._numbers, names)
@@ -207,15 +212,15 @@
 
     def fetch(self) -> None:
         """Ask once for the whole list."""
-        task = asyncio.ensure_future(self._fetch())
-        self._fetches.add(task)
-        task.add_done_callback(self._fetches.discard)
+        self._aside(self._fetch())
 
     def close(self) -> None:
         """Stop watching."""
         for source in (self._source, self._former):
             if source:
                 source.leave()
+        for task in self._others:
+            task.cancel()
 
     async def _watch(self, source: _Source) -> None:
         """Keep a watch open; what fails is tried again within a second.
@@ -266,17 +271,53 @@
 
     def _silent(self, source: _Source, error: _SilentError) -> None:
         """Note that a call was not answered in its time."""
-        source.drop()
-        log.warning("watch_silent", version=source.index, waited=str(error))
-        assert source.call
-        if source.call.continues_watch:
-            if source is self._source:
-                self._lease.watch_fell_silent()
+        log.warning("watch_silent", version=source.index, waited=str(error.waited.total_seconds()))
+        call, connection = source.call, source.connection
+        assert call and connection
+        if call.continues_watch and source is self._source:
+            source.connection = None
+            self._aside(self._hear_late(source, call, connection, error.asking))
             return
-        source.unanswered += 1
-        if self._pushed and source is self._source:
+        error.asking.cancel()
+        source.drop()
+        source.unanswered += not call.continues_watch
+        if self._pushed and not call.continues_watch and source is self._source:
             self._lease.agent_silent(self._clock.now())
 
+    async def _hear_late(
+        self, source: _Source, call: _Call, connection: DiscoveryConnection, asking: "asyncio.Future[Any]",
+    ) -> None:
+        """Hear what still comes of a watch that seems to have fallen silent, beside opening it anew.
+
+        Discovery that goes down ends its watches a moment later than it stops answering them, and in a crowd
+        the call after the one that opened a watch may have to wait for a turn. Where nothing comes at all the
+        watch was broken, and may have missed changes.
+        """
+        span = self._limits.late_answer if call.live else self._limits.longest_turn
+        try:
+            await asyncio.wait([asking], timeout=span.total_seconds())
+            failure = asking.exception() if asking.done() else TimeoutError()
+            if source is not self._source:
+                return
+            if failure is None:
+                self._take(source, asking.result())
+                self._lease.renew(call.made)
+            elif isinstance(failure, RefusedError):
+                refused = self._lease.live_watch_refused if call.live else self._lease.unserved
+                refused(call.made)
+            else:
+                self._lease.watch_fell_silent(call.made)
+        except ListError as error:
+            log.warning("discovery_failed", reason=str(error), version=source.index)
+        finally:
+            asking.cancel()
+            connection.close()
+
+    def _aside(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._others.add(task)
+        task.add_done_callback(self._others.discard)
+
     async def _pause_after(self, source: _Source, error: Exception) -> None:
         """Take a failed call of the present discovery into account, and wait before the next."""
         self._failing(source, error)
@@ -298,11 +339,15 @@
         elif isinstance(getattr(error, "real_error", None), ConnectionRefusedError):
             self._lease.connection_refused(call.made)
             self._first_list.set()
-        elif call.continues_watch:
+        elif isinstance(error, TimeoutError):
+            pass  # a connection that never came up: nothing is proven
+        elif now - call.made <= limits.connect + limits.stall and not call.live:
             if isinstance(error, RefusedError):
-                self._lease.live_watch_refused(call.made)
-        elif not isinstance(error, TimeoutError) and now - call.made > limits.connect + limits.stall:
-            self._lease.unserved(call.made)  # not turned away at once, as a crowd is
+                self._lease.refused_at_once()
+        elif not call.continues_watch:
+            self._lease.unserved(call.made)
+        elif isinstance(error, RefusedError):
+            self._lease.live_watch_refused(call.made)
 
     async def _pace(self, source: _Source) -> None:
         """Wait until a watch that told nothing newer may be asked again.
@@ -341,7 +386,9 @@
         limits = self._limits
         follows, source.answered = source.answered, False
         open_still = source.connection is not None and source.connection.quiet
-        source.call = _Call(self._clock.now(), follows, continues_watch=follows and open_still)
+        continues = follows and open_still
+        live = continues and source.call is not None and source.call.continues_watch
+        source.call = _Call(self._clock.now(), follows, continues, live)
         if not open_still:
             source.drop()
             if follows and self._pushed:
@@ -354,10 +401,15 @@
         else:
             wait, span = streams.MS, limits.fetch * 2 ** min(max(0, source.unanswered - 1), _PATIENCE)
         query = "" if source.index is None else f"?index={source.index}&wait={wait // streams.MS}"
+        asking = asyncio.ensure_future(source.connection.ask(query))
         try:
-            return await within(span, source.connection.ask(query))
-        except TimeoutError:
-            raise _SilentError(span.total_seconds()) from None
+            await asyncio.wait([asking], timeout=span.total_seconds())
+        except asyncio.CancelledError:
+            asking.cancel()
+            raise
+        if asking.done():
+            return asking.result()
+        raise _SilentError(span, asking)
 
     async def _fetch(self) -> None:
         connection, source, made = None, self._source, self._clock.now()
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -77,7 +77,8 @@
 
 def test_an_outage_does_not_extend_a_lease_whose_watch_had_fallen_silent() -> None:
     lease = held()
-    lease.watch_fell_silent()
+    lease.connection_refused(at(3))
+    lease.watch_fell_silent(at(1))  # noticed late
     lease.connection_refused(at(4))
     lease.live_watch_refused(at(4))
     for second in (4, 5, 6):
@@ -88,6 +89,22 @@
     assert lease.until == at(9) + TERMS.contact
 
 
+def test_a_silence_counts_for_nothing_once_a_list_has_come() -> None:
+    lease = held()
+    lease.renew(at(2))  # the watch was opened anew before the silence was certain
+    lease.watch_fell_silent(at(1))
+    lease.connection_refused(at(4))
+    assert lease.until == at(4) + TERMS.contact
+
+
+def test_calls_without_a_turn_extend_a_lease_where_crowds_are_turned_away_at_once() -> None:
+    lease = held()
+    lease.refused_at_once()
+    assert lease.until == at(0) + TERMS.contact
+    lease.unserved(at(4))
+    assert lease.until == at(4) + TERMS.contact
+
+
 def test_a_move_bounds_the_lease_until_the_new_address_has_told_its_list() -> None:
     lease = held()
     lease.moved(at(1))
@@ -118,7 +135,8 @@
     assert lease.until == at(4) + TERMS.contact
 
 
-EVENTS = ("renew", "connection_refused", "live_watch_refused", "unserved", "watch_fell_silent", "moved")
+EVENTS = ("renew", "connection_refused", "live_watch_refused", "unserved", "refused_at_once",
+          "watch_fell_silent", "moved")
 
 
 @given(st.lists(st.tuples(st.sampled_from(EVENTS), st.integers(1, 4000)), max_size=40))
@@ -128,8 +146,10 @@
     proven = START
     for event, milliseconds in steps:
         now += timedelta(milliseconds=milliseconds)
-        if event == "watch_fell_silent":
-            lease.watch_fell_silent()
+        if event == "refused_at_once":
+            lease.refused_at_once()
+        elif event == "watch_fell_silent":
+            lease.watch_fell_silent(now)
         else:
             getattr(lease, event)(now)
             proven = proven if event == "moved" else now
