--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -233,8 +233,8 @@
             with suppress(asyncio.IncompleteReadError, ConnectionError):
                 while True:
                     first = (await http_message(reader))[0]
-                    if "index=2" in first:
-                        await asyncio.sleep(5)
+                    if "index=2" in first:  # nothing newer: it waits for as long as it is asked to
+                        await asyncio.sleep(int(first.split()[1].rpartition("wait=")[2]) / 1000)
                     body = json.dumps(given(port, worker)["known"] | {"rev": 2}).encode()
                     writer.write(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
                     back.append(time.monotonic())
