--- a/tests/test_fleet_membership.py
+++ b/tests/test_fleet_membership.py
@@ -294,14 +294,14 @@
 
 @pytest.mark.parametrize("size", SIZES)
 @pytest.mark.parametrize("fault", FAULTS)
-def test_no_process_of_a_fleet_sends_to_a_server_that_it_counts_as_told_of(fault: str, size: int) -> None:
+def test_no_process_sends_to_a_server_after_its_leaving_was_notified(fault: str, size: int) -> None:
     scenario, given = FAULTS[fault]
     verdict = play(scenario, size, **given)
     assert verdict.broken == 0, verdict.first
 
 
 @pytest.mark.parametrize("fault", MORE)
-def test_nor_does_a_fleet_of_forty_in_rarer_trouble(fault: str) -> None:
+def test_no_process_of_a_fleet_of_forty_does_so_in_rarer_trouble(fault: str) -> None:
     scenario, given = MORE[fault]
     verdict = play(scenario, 40, **given)
     assert verdict.broken == 0, verdict.first
@@ -312,7 +312,7 @@
 
 
 @pytest.mark.parametrize("fault", [*sorted(PUSHED), "outage"])
-def test_nor_does_a_fleet_to_which_lists_are_pushed(fault: str) -> None:
+def test_no_process_does_so_where_lists_are_pushed(fault: str) -> None:
     scenario = agent_silent_for_a_while if fault == "outage" else (FAULTS | MORE)[fault][0]
     verdict = play(scenario, 40, pushed=True)
     assert verdict.broken == 0, verdict.first
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -323,3 +323,27 @@
         assert not scheduler.may_send_to(1) and scheduler.may_send_to(2)
     scheduler.listed(api.WorkerList(api.ListKind.CHANGES, (api.WorkerEntry(1, started_us=7),)))
     assert scheduler.may_send_to(1)
+
+
+def test_a_drain_told_while_a_job_is_held_keeps_it_from_that_server() -> None:
+    time, worker, scheduler = started()
+    scheduler.listed(api.WorkerList(api.ListKind.FULL))
+    scheduler.submit(job("a"), Answers())
+    time.run(20 * MS)
+    scheduler.listed(api.WorkerList(api.ListKind.FULL, (
+        api.WorkerEntry(1, phase=api.Phase.DRAINING), api.WorkerEntry(2))))
+    time.run(50 * MS)
+    assert [a.worker for a in worker.sent] == [2]
+
+
+def test_a_drain_told_between_an_attempt_and_its_retry_keeps_the_retry_from_that_server() -> None:
+    time, worker, scheduler = started()
+    scheduler.submit(job("a"), reply := Answers())
+    time.run(10 * MS)
+    (first,) = worker.sent
+    other = 3 - first.worker
+    first.end(api.Outcome.CONNECT_FAILED)
+    scheduler.listed(api.WorkerList(api.ListKind.CHANGES, (
+        api.WorkerEntry(other, phase=api.Phase.DRAINING),)))
+    time.run(999 * MS)
+    assert [a.worker for a in worker.sent if a.worker == other] == [] and reply.final == ["refused"]
