--- a/hazellead/__main__.py
+++ b/hazellead/__main__.py
@@ -128,13 +128,16 @@
 
             self.peers = assemble(operators.peers, self.scheduler, given, clock)
 
-    async def start(self) -> None:
-        """Learn from others where that is set, but only so long; then be ready."""
+    async def start(self, hurry: asyncio.Event | None = None) -> None:
+        """Be ready once there is a list of servers, and what others know where that is set.
+
+        Each is waited for only so long, and the list only until ``hurry`` is set.
+        """
         given = self.given
         if self.watch:
             # Whatever the settings say of how lists come: where they are pushed, too, they come on a watch.
             self.watch.subscribe()
-            await self.watch.first_list(self.limits.first_list)
+            await self.watch.first_list(self.limits.first_list, hurry)
         if self.peers:
             await self.peers.start()
         if self.estate:
@@ -286,9 +289,19 @@
 
 async def serve(operators_file: str | None, early: list[int]) -> None:
     """Serve until SIGTERM or SIGINT; read the configuration again at each SIGHUP, ``early`` ones included."""
-    loop, terminated = asyncio.get_running_loop(), asyncio.Event()
+    loop, terminated, hurry = asyncio.get_running_loop(), asyncio.Event(), asyncio.Event()
+
+    def end() -> None:
+        terminated.set()
+        hurry.set()
+
+    def note_early() -> None:
+        early.append(signal.SIGHUP)
+        hurry.set()
+
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, terminated.set)
+        loop.add_signal_handler(number, end)
+    loop.add_signal_handler(signal.SIGHUP, note_early)
     given, operators = load(operators_file)
     heir = None
     if given.handover and os.path.exists(given.handover):
@@ -296,7 +309,7 @@
 
         given, heir = await estate.ask(given, given.handover)
     program = Program(given, operators, heir)
-    await program.start()
+    await program.start(hurry)
 
     def reload() -> None:
         try:
--- a/hazellead/platform/discovery.py
+++ b/hazellead/platform/discovery.py
@@ -144,11 +144,18 @@
         """Say whether the list that was told may no longer be acted on: nothing is sent by it."""
         return self._lease.expired(self._clock.now())
 
-    async def first_list(self, span: timedelta) -> None:
-        """Wait until discovery has told a list or is shown to be out of reach, so long at most."""
-        try:
-            await within(span, self._first_list.wait())
-        except TimeoutError:
+    async def first_list(self, span: timedelta, hurry: asyncio.Event | None = None) -> None:
+        """Wait until discovery has told a list or is shown to be out of reach.
+
+        So long at most, and only until ``hurry`` is set.
+        """
+        events = [self._first_list, hurry] if hurry else [self._first_list]
+        waits = [asyncio.ensure_future(event.wait()) for event in events]
+        done, _ = await asyncio.wait(
+            waits, timeout=span.total_seconds(), return_when=asyncio.FIRST_COMPLETED)
+        for wait in waits:
+            wait.cancel()
+        if not done:
             log.warning("discovery_late", waited=span.total_seconds())
 
     def told(self, entries: Iterable[api.WorkerEntry]) -> dict[str, Any]:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -144,6 +144,33 @@
     run(case())
 
 
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP])
+def test_a_signal_ends_the_wait_for_a_first_list(number: signal.Signals, tmp_path: Path) -> None:
+    """Discovery is silent: a new process would be ready after 4 s, and would heed a signal only then."""
+    async def case() -> None:
+        port, discovery = free_port(), Discovery()
+        server = await asyncio.start_server(discovery.serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        tmp_path.joinpath("config.json").write_text(
+            json.dumps(given(port) | {"discovery": address, "settings": BRIEF}))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "hazellead", cwd=ROOT, env={"GW_CONFIG": str(tmp_path / "config.json")},
+            stderr=asyncio.subprocess.PIPE)
+        await until(lambda: discovery.calls)
+        began = time.monotonic()
+        process.send_signal(number)
+        assert process.stderr
+        lines = [(await process.stderr.readline()).decode() for _ in range(2)]
+        assert "event=ready" in lines[0] and time.monotonic() - began < 2
+        assert ("event=stopping" if number is signal.SIGTERM else "event=config_read") in lines[1]
+        if number is signal.SIGHUP:
+            process.send_signal(signal.SIGTERM)
+        assert await asyncio.wait_for(process.wait(), 10) == 0
+        server.close()
+
+    run(case())
+
+
 def test_a_reload_follows_discovery_elsewhere_and_a_broken_file_changes_nothing(tmp_path: Path) -> None:
     async def case() -> None:
         port, count, asked = free_port(), Counter[bytes](), list[str]()
