--- a/hazellead/core/lease.py
+++ b/hazellead/core/lease.py
@@ -143,6 +143,11 @@
         self._until = min(self._until, now + self.terms.loss)
 
     def moved(self, now: datetime) -> None:
-        """Note that another discovery is to be followed; an earlier move that is not over still counts."""
+        """Note that another discovery is to be followed; an earlier move that is not over still counts.
+
+        What the former one has shown of outages and crowds says nothing of it.
+        """
+        self._outage = self._crowds_refused_at_once = False
+        self._unserved = 0
         until = now + self.terms.move
         self._move_until = until if self._move_until is None else min(self._move_until, until)
--- a/hazellead/platform/discovery.py
+++ b/hazellead/platform/discovery.py
@@ -316,6 +316,8 @@
                 self._lease.watch_fell_silent(call.made)
         except ListError as error:
             log.warning("discovery_failed", reason=str(error), version=source.index)
+        except Exception:  # guards the list against a fault of our own
+            log.exception("watch_fault")
         finally:
             asking.cancel()
             connection.close()
@@ -338,11 +340,13 @@
     def _weigh(self, source: _Source, error: Exception) -> None:
         """Tell the lease what a failed call proves of discovery's reach."""
         now, call, limits = self._clock.now(), source.call, self._limits
-        if call is None or isinstance(error, ListError):
+        if call is None:
             return
         if self._pushed:
             if call.continues_watch:
                 self._lease.watch_lost(now)
+        elif isinstance(error, ListError):
+            pass  # it says nothing of discovery's reach
         elif isinstance(getattr(error, "real_error", None), ConnectionRefusedError):
             self._lease.connection_refused(call.made)
             self._first_list.set()
@@ -402,7 +406,7 @@
                 self._lease.watch_lost(source.call.made)
             source.connection = await self._connect(source.address, limits)
         assert source.connection
-        if follows:
+        if follows and (open_still or not self._pushed):
             wait = limits.watch_least + (limits.watch_most - limits.watch_least) * self._rng.random()
             span = wait + limits.watch_grace
         else:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -198,8 +198,9 @@
     run(case())
 
 
+@pytest.mark.parametrize("answer", [None, (200, b"{")])
 @pytest.mark.parametrize("pushed", [False, True])
-def test_a_watch_that_breaks_is_opened_anew_at_once_where_lists_are_pushed(pushed: bool) -> None:
+def test_a_watch_that_breaks_is_opened_anew_at_once_where_lists_are_pushed(pushed: bool, answer: Any) -> None:
     """There each moment without a watch counts; elsewhere a fleet must not come back all at once."""
     async def check(watch: Watch, discovery: Discovery, told: list[api.WorkerList]) -> None:
         watch.subscribe()
@@ -207,7 +208,7 @@
         assert (discovery.at[2] - discovery.at[1] < 0.2) is pushed
 
     known = listing(41, target("s-1"), whole=True)
-    watching(check, listing(42), None, listing(42), known=known, pushed=pushed)
+    watching(check, listing(42), answer, listing(42), known=known, pushed=pushed)
 
 
 def test_other_names_are_followed_with_no_call_that_could_fail() -> None:
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -382,11 +382,33 @@
     run(case())
 
 
-def test_a_discovery_that_ends_each_connection_is_asked_no_more_often() -> None:
-    def ending(writer: asyncio.StreamWriter, whole: bytes) -> None:
-        writer.write(whole.replace(b"\r\n", b"\r\nConnection: close\r\n", 1))
-        writer.close()
+def ending(writer: asyncio.StreamWriter, whole: bytes) -> None:
+    writer.write(whole.replace(b"\r\n", b"\r\nConnection: close\r\n", 1))
+    writer.close()
+
+
+def test_a_list_that_is_pushed_stays_in_force_where_discovery_ends_each_connection() -> None:
+    """Without a watch what its agent has counts at once: each call must be answered at once, too."""
+    async def case() -> None:
+        discovery = Turns()
+        async with discovery.serving() as address:
+            known = listing(1, target("s-1"), whole=True)
+            watch = Watch(address, NAMES, SHORT, known, lambda _: None, 1, pushed=True)
+            discovery.wound = ending
+            watch.subscribe()
+            await watch.first_list(timedelta(seconds=5))
+            expired, until_ = 0, time.monotonic() + 0.5
+            while time.monotonic() < until_:
+                discovery.wound = ending
+                expired += watch.list_expired()
+                await asyncio.sleep(0.001)
+            assert expired <= 10  # each time for as long as a call takes, some milliseconds
+            watch.close()
 
+    run(case())
+
+
+def test_a_discovery_that_ends_each_connection_is_asked_no_more_often() -> None:
     async def case() -> None:
         discovery = Turns()
         async with discovery.serving() as address:
