--- a/tests/test_fleet_membership.py
+++ b/tests/test_fleet_membership.py
@@ -307,6 +307,12 @@
     assert verdict.broken == 0, verdict.first
 
 
+def test_no_process_does_so_after_an_outage_whose_crowd_is_let_wait() -> None:
+    """Then each call fails after the longest wait both in the outage and in the crowd that follows it."""
+    verdict = play(short_outage, 40, crowd=Crowd.REFUSED_AFTER_WAIT)
+    assert verdict.broken == 0, verdict.first
+
+
 async def agent_silent_for_a_while(fleet: Fleet) -> None:
     await _outage(fleet, 20.0, Outage.AGENT_SILENT)
 
