--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -17,6 +17,7 @@
 
 import pytest
 from loopback import ROOT, HttpWorker, free_port, http_message, http_post, run, until
+from test_discovery import Discovery
 from tornado.testing import bind_unused_port
 
 from hazellead.limits import Limits
@@ -117,6 +118,59 @@
     run(case())
 
 
+@pytest.mark.parametrize("mode", ["subscribe", "automatic"])
+def test_the_list_is_watched_from_the_start_whether_it_is_asked_for_or_pushed(
+    mode: str, tmp_path: Path,
+) -> None:
+    """Settings of lists that come unasked had no watch opened: no drain was ever heard of."""
+    async def case() -> None:
+        port, count = free_port(), Counter[bytes]()
+        worker = HttpWorker("s-1", count, lambda: port)
+        async with worker.serving():
+            known = given(port, worker)["known"]
+            discovery = Discovery(known | {"rev": 2})
+            server = await asyncio.start_server(discovery.serve, "127.0.0.1", 0)
+            address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+            settings = BRIEF | {"membershipMode": mode}
+            async with program(tmp_path, port, worker, discovery=address, settings=settings):
+                await until(lambda: len(discovery.calls) > 1)
+                drained = [target | {"state": "draining"} for target in known["targets"]]
+                discovery.tell({"rev": 3, "all": False, "targets": drained})
+                await until(lambda: len(discovery.calls) > 2)
+                status, headers, _ = await http_post(port, "/post-payment", b"a", HEADERS.format("1"))
+                assert status == 429 and float(headers["retry-after"]) > 0 and not count
+            server.close()
+
+    run(case())
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP])
+def test_a_signal_ends_the_wait_for_a_first_list(number: signal.Signals, tmp_path: Path) -> None:
+    """Discovery is silent: a new process would be ready after 4 s, and would heed a signal only then."""
+    async def case() -> None:
+        port, discovery = free_port(), Discovery()
+        server = await asyncio.start_server(discovery.serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        tmp_path.joinpath("config.json").write_text(
+            json.dumps(given(port) | {"discovery": address, "settings": BRIEF}))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "hazellead", cwd=ROOT, env={"GW_CONFIG": str(tmp_path / "config.json")},
+            stderr=asyncio.subprocess.PIPE)
+        await until(lambda: discovery.calls)
+        began = time.monotonic()
+        process.send_signal(number)
+        assert process.stderr
+        lines = [(await process.stderr.readline()).decode() for _ in range(2)]
+        assert "event=ready" in lines[0] and time.monotonic() - began < 2
+        assert ("event=stopping" if number is signal.SIGTERM else "event=config_read") in lines[1]
+        if number is signal.SIGHUP:
+            process.send_signal(signal.SIGTERM)
+        assert await asyncio.wait_for(process.wait(), 10) == 0
+        server.close()
+
+    run(case())
+
+
 def test_a_reload_follows_discovery_elsewhere_and_a_broken_file_changes_nothing(tmp_path: Path) -> None:
     async def case() -> None:
         port, count, asked = free_port(), Counter[bytes](), list[str]()
@@ -206,8 +260,8 @@
             with suppress(asyncio.IncompleteReadError, ConnectionError):
                 while True:
                     first = (await http_message(reader))[0]
-                    if "index=2" in first:
-                        await asyncio.sleep(5)
+                    if "index=2" in first:  # nothing newer: it waits for as long as it is asked to
+                        await asyncio.sleep(int(first.split()[1].rpartition("wait=")[2]) / 1000)
                     body = json.dumps(given(port, worker)["known"] | {"rev": 2}).encode()
                     writer.write(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
                     back.append(time.monotonic())
