--- a/hazellead/core/lease.py
+++ b/hazellead/core/lease.py
@@ -14,8 +14,9 @@
 
 from hazellead.limits import Limits
 
-# A call fails after two seconds of waiting for its turn, so three in a row and the pauses between them take
-# longer than the lease: a crowd that is served at all within it has passed by then.
+# Where a call fails after two seconds of waiting for its turn, three in a row and the pauses between them
+# take longer than the lease: a crowd that is served at all within it has passed by then. Where discovery
+# gives up sooner they take less, and a crowd that it lets wait could pass for an outage.
 _UNSERVED_IN_A_ROW = 3
 
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -54,23 +54,20 @@
 
     def begin(self) -> None:
         loop = self.fleet.loop
-        self.clock: Any = VirtualClock(loop)
+        self.clock = VirtualClock(loop)
         self.told = Told(loop.time())
         settings = replace(SETTINGS, must_ask=not self.fleet.pushed)
         timers: Any = Timers(loop)
         self.scheduler = Scheduler(settings, self.seed, LIMITS, self.clock, timers)
         self.watch = Watch(
-            self.address, NAMES, LIMITS, self.known, self._listed, self.seed, pushed=self.fleet.pushed,
-            clock=self.clock, connect=self.fleet.network.connector(self))
+            self.address, NAMES, LIMITS, self.known, self.scheduler.listed, self.seed,
+            pushed=self.fleet.pushed, clock=self.clock, connect=self.fleet.network.connector(self))
         transport: Any = _NoTransport()
         self.scheduler.connect(transport, self.watch)
         self.watch.subscribe()
         self.alive, self.seed = True, self.seed + 1000
         self.refusing_since: float | None = None
 
-    def _listed(self, event: api.WorkerList) -> None:
-        self.scheduler.listed(event)
-
     def kill(self) -> None:
         """End it, and keep the list that it held."""
         self.known = self.watch.told(self.scheduler.workers)
--- a/tests/virtual_loop.py
+++ b/tests/virtual_loop.py
@@ -6,6 +6,7 @@
 from datetime import datetime, timedelta
 from typing import Any, TypeVar
 
+from hazellead.core.clock import Clock
 from hazellead.lab.time import START
 
 T = TypeVar("T")
@@ -51,7 +52,7 @@
         return self._skipping.skipped
 
 
-class VirtualClock:
+class VirtualClock(Clock):
     """The program's clock, on a loop's virtual time."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -60,9 +61,6 @@
     def now(self) -> datetime:
         return START + timedelta(seconds=self._loop.time())
 
-    def now_us(self) -> int:
-        return (self.now() - datetime.fromisoformat("1970-01-01T00:00:00+00:00")) // timedelta(microseconds=1)
-
 
 class Timers:
     """The two calls of an IOLoop that a scheduler makes."""
