Second copies: no timer for looks that wait for the lease on the list

Seen: 487 timers in 500 ticks while an attempt was out and the lease on the list had expired.

Cause: looks are not taken without a lease, and the timer for the first that is due was set again each tick. Change: it is not counted then; the step in which the lease is renewed takes the looks. No caller saw this.

--- a/hazellead/decide/choice.py
+++ b/hazellead/decide/choice.py
@@ -169,7 +169,8 @@
     def _wake(self) -> None:
         """Ask for one timer, for the first thing that no event will bring; a little late saves wake-ups."""
         pause = 4 * self.settings.tick_us
-        due = [at for at in (self.ask_at, self.checks[0][0] if self.checks else -1) if at >= 0]
+        look_at = self.checks[0][0] if self.checks and self.leased else -1  # none is taken without a lease
+        due = [at for at in (self.ask_at, look_at) if at >= 0]
         if self.again or self.late or any(t.held for t in self.tenants):
             due.append(self.now + pause)
         if due and (self.wake_at <= self.now or min(due) + pause < self.wake_at):
--- a/tests/test_second_copies.py
+++ b/tests/test_second_copies.py
@@ -67,3 +67,14 @@
             actions = referee.play(api.TimerFired(0), after_us=BASE.tick_us)
             timers = [a for a in actions if isinstance(a, api.SetTimer)]
             assert all(timer.after_us >= BASE.tick_us for timer in timers)
+
+
+def test_looks_that_are_due_without_a_lease_set_no_timers() -> None:
+    """They cannot be taken then; before, a timer came each tick for as long as the lease was out."""
+    referee = after_jobs_that_ran_for(20_000)
+    referee.play(api.Arrival(100, 0, 5 * SECOND_US), after_us=BASE.tick_us)
+    referee.play(api.LeaseChanged(held=False))
+    actions = [a for _ in range(500) for a in referee.play(api.TimerFired(0), after_us=BASE.tick_us)]
+    assert sum(isinstance(a, api.SetTimer) for a in actions) <= 1
+    actions = referee.play(api.LeaseChanged(held=True))
+    assert any(isinstance(a, api.SetTimer | api.Push) for a in actions)
