Test: connections passed by a process that has ended are lost when a call-back comes first

Symptom: 8 of 8 clients' connections end without an answer where the process that takes them over is held up while the other passes them on and ends, and a call-back for the other is read before them. On a channel alone: 5 of 5 messages lost after one write.

--- /dev/null
+++ b/tests/test_channel_end.py
@@ -0,0 +1,150 @@
+"""What one process has passed on arrives, though it ends before the other has read it.
+
+In one of 50 runs of two replacements under load a client's connection ended without an answer.
+"""
+
+import asyncio
+import os
+import signal
+import socket
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import pytest
+from loopback import HttpWorker, free_port, http_message, run, until
+from test_handover import TENANTS
+from test_program import program
+
+from hazellead.lifecycle.channel import Channel
+from hazellead.lifecycle.messages import Message, Reader, encode
+from hazellead.net import http
+
+HOST = "127.0.0.1"
+
+
+@pytest.mark.parametrize("writes", [0, 1, 3])
+def test_messages_and_descriptors_of_an_end_that_has_closed_are_read_before_the_channel_ends(
+    writes: int,
+) -> None:
+    async def case() -> None:
+        one, other = socket.socketpair()
+        got: list[tuple[Message, list[socket.socket]]] = []
+        ends: list[str] = []
+        passing = Channel(one, lambda message, sockets: None, lambda reason: None)
+        taking = Channel(other, lambda *message: got.append(message), ends.append)
+        pairs = [socket.socketpair() for _ in range(5)]
+        for near, _ in pairs:
+            passing.send("connections", [near])
+        passing.close()
+        for _ in range(writes):  # as a call-back that is for the other process, before anything was read
+            taking.send("call_back")
+        await until(lambda: ends)
+        assert len(got) == len(pairs), f"{len(got)} of {len(pairs)} messages came"
+        for (_, [sock]), (_, far) in zip(got, pairs, strict=True):
+            far.sendall(b"x")
+            assert sock.recv(9) == b"x"
+            sock.close()
+            far.close()
+
+    run(case())
+
+
+class EndingPredecessor:
+    """A serving process that is replaced, written from the steps of the hand-over, message by message."""
+
+    def __init__(self, path: Path, port: int) -> None:
+        self.port, self.reader = port, Reader()
+        self.listener = socket.create_server((HOST, port))
+        self.door = socket.socket(socket.AF_UNIX)
+        self.door.bind(str(path))
+        self.door.listen()
+        self.messages: list[Message] = []
+
+    async def _expect(self, kind: str) -> None:
+        loop = asyncio.get_running_loop()
+        while not any(m.kind == kind for m in self.messages):
+            data = await asyncio.wait_for(loop.run_in_executor(None, self.line.recv, 1 << 20), 10)
+            assert data, f"ended before {kind}"
+            self.messages += self.reader.feed(data)
+
+    async def hand_over(self) -> None:
+        """Take part until the new process serves."""
+        loop = asyncio.get_running_loop()
+        self.line, _ = await asyncio.wait_for(loop.run_in_executor(None, self.door.accept), 10)
+        await self._expect("hello")
+        self.send("offer", [self.listener], version=1, known=None, told=None, discovery="")
+        await self._expect("ready")
+        self.send("commit", [], open=[], ended=[])
+        await self._expect("started")
+
+    def send(self, kind: str, sockets: list[socket.socket], **body: Any) -> None:
+        frame = encode(Message(kind, body, len(sockets)))
+        rights = [(socket.SOL_SOCKET, socket.SCM_RIGHTS, b"".join(
+            s.fileno().to_bytes(4, "little") for s in sockets))] if sockets else []
+        assert self.line.sendmsg([frame], rights) == len(frame)
+
+    def close(self) -> None:
+        for sock in (self.line, self.door, self.listener):
+            sock.close()
+
+
+def request(name: int) -> bytes:
+    return http.request("POST", "/post-payment", "x", {
+        "X-Trace-Id": f"id{name}", "X-Customer": TENANTS[name % len(TENANTS)], "X-Expires-In": "5000m"},
+        b"%d" % name)
+
+
+CALL_BACK = http.request(
+    "POST", "/v1/job-events", "x", {}, b'{"id":"none","from":"s-1","state":"done","result":""}')
+
+
+def test_connections_passed_by_a_process_that_has_ended_are_answered_though_call_backs_come_first(
+    tmp_path: Path,
+) -> None:
+    """The new process is held up (SIGSTOP) while the old one passes connections on and ends."""
+    async def case() -> None:
+        port = free_port()
+        folder = tmp_path / "new"
+        old = EndingPredecessor(tmp_path / f"hazellead-{port}.sock", port)
+        worker = HttpWorker("s-1", Counter[bytes](), lambda: port)
+        serving = asyncio.ensure_future(old.hand_over())
+        async with worker.serving(), program(
+                folder, port, worker, console=f"{HOST}:{free_port()}") as new:
+            await serving
+            calling, call_back = await asyncio.open_connection(HOST, port)
+            call_back.write(CALL_BACK)
+            answered = asyncio.ensure_future(http_message(calling))
+            await old._expect("call_back")  # it passes such a call-back on
+            old.send("answered", [], number=1, status=200)
+            await answered
+
+            clients, accepted = [], socket.create_server((HOST, 0))
+            for _ in range(8):
+                clients.append(await asyncio.open_connection(*accepted.getsockname()))
+            os.kill(new.pid, signal.SIGSTOP)
+            for _ in range(3):  # are there first when the process goes on
+                call_back.write(CALL_BACK)
+            await asyncio.sleep(0.1)
+            for n, (_, writer) in enumerate(clients):
+                sock, _ = accepted.accept()
+                writer.write(request(n)[:-1])
+                old.send("connections", [sock], read=[""], flags=[""])
+                sock.close()
+            old.close()
+            os.kill(new.pid, signal.SIGCONT)
+
+            async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, n: int) -> int:
+                writer.write(request(n)[-1:])
+                first, _, _ = await http_message(reader)
+                writer.close()
+                return int(first.split()[1])
+
+            results = await asyncio.gather(
+                *(answer(*ends, n) for n, ends in enumerate(clients)), return_exceptions=True)
+            lost = [r for r in results if isinstance(r, BaseException)]
+            assert not lost, f"{len(lost)} of {len(clients)} connections ended without an answer"
+            assert set(results) <= {200, 429}
+            call_back.close()
+
+    run(case())
