Restarts: refuse at once after SIGTERM what would still run at the end of the process

What callers saw: 502 for jobs that a scheduler had taken after SIGTERM, 59 of 60 in 5 s where tasks take minutes.

Cause: Scheduler.submit looked only whether the called end was over, not whether a job could be done by then.

Why this holds: once the end is called, a job whose class's runs (ended ones on average, else those under way, the lower median) take longer than what is left is refused with a time to come back, held ones that were not sent too. Where a successor goes on with open jobs nothing changes; a class of which nothing is known is taken as before.

--- a/hazellead/core/scheduler.py
+++ b/hazellead/core/scheduler.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
+from statistics import median_low
 from typing import TYPE_CHECKING
 
 import structlog
@@ -133,7 +134,7 @@
         if job.identity in self._identities:
             # Guards against posting twice: the same id again may concern a job that runs at this moment.
             reply.failed("this id is being worked on")
-        elif self.room <= 0 or self._end and self._clock.now() >= self._end:
+        elif self.room <= 0 or self._would_outlast_end(job):
             reply.refused(self.limits.busy_retry)
         else:
             self._take(job, reply, max(job.remaining - self.limits.answer_margin, timedelta(0)))
@@ -242,8 +243,35 @@
     def end_by(self, end: datetime) -> None:
         """Answer whatever is held or still comes by then, however much longer its client would wait."""
         self._end = end
-        for request in self._requests.values():
-            self._bound(request)
+        for request in list(self._requests.values()):
+            if not request.attempts and not request.parked and self._would_outlast_end(request.job):
+                self._give_up(request, "the scheduler ends")
+            else:
+                self._bound(request)
+
+    def _would_outlast_end(self, job: Job) -> bool:
+        """Say whether a job that was sent now would still run when this process ends, with nobody to go on.
+
+        Its client can have it done elsewhere: what is sent is failed here at the end, and may not be repeated
+        where it may have run.
+        """
+        if self._end is None:
+            return False
+        left = self._end - self._clock.now()
+        if left <= timedelta(0):
+            return True
+        return not self.passes_on and self._expected_run(job.job_class) > left
+
+    def _expected_run(self, job_class: int) -> timedelta:
+        """Return how long a job of a class runs: as those that have ended here, else as those that run."""
+        seen_us = self._dispatcher.expected_run_us(job_class)
+        if seen_us is not None:
+            return span(seen_us)
+        now = self._clock.now()
+        running = [now - attempt.began_at for request in self._requests.values()
+                   if request.job.job_class == job_class
+                   for attempt in request.attempts if attempt.outcome is None and attempt.began_at]
+        return median_low(running) if running else timedelta(0)
 
     def _bound(self, request: _Request) -> None:
         # The module keeps to the client's own deadline: to it, less time would mark a client's later try.
--- a/hazellead/decide/choice.py
+++ b/hazellead/decide/choice.py
@@ -210,6 +210,10 @@
         """Return the workers that get no ordinary jobs at present: they drain, are gone, or are doubted."""
         return set(self.workers) - {w.entry.worker for w in self.near + self.far if self._doubt(w) < TRUST}
 
+    def expected_run_us(self, job_class: int) -> float | None:
+        """Return how long jobs of a class have run here on average; None before the first has ended."""
+        return self.ran[job_class].value if self.ran[job_class].count else None
+
     def learn(self, known: "seen.Known") -> None:
         """Take over what others have seen, as a start, and caution at once; none opens or warms a worker."""
         fresh = not any(m.count for m in self.ran)
