Test: discovery is asked at the start without a known list and before any job

What callers saw: the first jobs of a process started without a list were held or refused (seen twice, for 10 s).

Cause: the decisions ask for the watch in their first step, which without a list came with the first job.

--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -144,6 +144,35 @@
     run(case())
 
 
+@pytest.mark.parametrize("mode", ["subscribe", "automatic"])
+def test_discovery_is_asked_at_the_start_without_a_known_list_and_before_any_job(
+    mode: str, tmp_path: Path,
+) -> None:
+    """A process that was given no list asked discovery only when its first job came (seen twice, for 10 s).
+
+    The decisions ask for the watch in their first step, and a step comes with an event: a list from before
+    the start is one, the next was the first job. Evidence: on the program from before the watch was opened
+    by ``Program.start``, this test ends after its 3 s with no call made.
+    """
+    async def case() -> None:
+        port, count = free_port(), Counter[bytes]()
+        worker = HttpWorker("s-1", count, lambda: port)
+        async with worker.serving():
+            discovery = Discovery(given(port, worker)["known"])
+            server = await asyncio.start_server(discovery.serve, "127.0.0.1", 0)
+            address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+            settings = BRIEF | {"membershipMode": mode}
+            async with program(tmp_path, port, discovery=address, settings=settings, known={}):
+                async with asyncio.timeout(3):
+                    await until(lambda: len(discovery.calls) > 1)
+                assert discovery.calls[0] == "/discovery/hosts"
+                status, _, body = await http_post(port, "/post-payment", b"a", HEADERS.format("1"))
+                assert (status, body) == (200, b"posted a")
+            server.close()
+
+    run(case())
+
+
 @pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP])
 def test_a_signal_ends_the_wait_for_a_first_list(number: signal.Signals, tmp_path: Path) -> None:
     """Discovery is silent: a new process would be ready after 4 s, and would heed a signal only then."""
