--- /dev/null
+++ b/tests/test_requests_at_each_step.py
@@ -0,0 +1,126 @@
+"""A request's bytes at each moment of an end and of a hand-over, whole and in pieces.
+
+On kept connections a request begins every 12 ms from before SIGTERM until after the last close; each is
+answered, or crosses the end of its resting connection unread.
+"""
+
+import asyncio
+import signal
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from pathlib import Path
+
+import pytest
+from loopback import run
+
+from hazellead.lab.soak.clients import Line
+from hazellead.lab.soak.discovery import Discovery
+from hazellead.lab.soak.processes import KILL_AFTER_S, TENANTS, Process, Slot, program_of
+from hazellead.lab.soak.records import Records, Request
+from hazellead.lab.soak.referee import judge
+from hazellead.lab.soak.servers import HOST
+from hazellead.lab.soak.workers import Worker
+from hazellead.net import http
+
+SPACING_S = 0.012
+PIECE_PAUSE_S = 0.006
+DEADLINE_S = 3.0
+SETTLE_S = 1.0
+TOGETHER = 20
+
+
+@dataclass
+class Stand:
+    """One scheduler, its workers and the clients' connections to it."""
+
+    slot: Slot
+    records: Records
+    count: int = 0
+
+    async def connect(self) -> Line:
+        _, line = await asyncio.get_running_loop().create_connection(Line, HOST, self.slot.port)
+        return line
+
+    async def ask(self, line: Line, pieces: int) -> Request:
+        """Send a request in so many pieces and wait for its answer, or the end of its connection."""
+        self.count += 1
+        identity, now = f"n0-{self.count}", asyncio.get_running_loop().time
+        headers = {"X-Trace-Id": identity, "X-Customer": TENANTS[self.count % 2], "X-Expires-In": "3000m"}
+        data = http.request("POST", "/pay", "x", headers, b"0.02 x")
+        line.over.clear()
+        request = Request(identity, "n0", "single_shot", DEADLINE_S, line.asked == 0, False, now())
+        line.asked, line.request = line.asked + 1, request
+        if not line.open or line.transport.is_closing():
+            return request
+        self.records.requests[identity] = request
+        size = -(-len(data) // pieces)
+        for at in range(0, len(data), size):
+            if at:
+                await asyncio.sleep(PIECE_PAUSE_S)
+            if not line.open:
+                return request
+            line.transport.write(data[at:at + size])
+        request.last_byte = now()
+        async with asyncio.timeout(DEADLINE_S + 2):
+            await line.over.wait()
+        return request
+
+
+@asynccontextmanager
+async def standing(folder: Path) -> AsyncIterator[Stand]:
+    """Run a scheduler with six workers."""
+    records = Records()
+    slot, discovery = Slot(0, 1, folder, records, program_of("-m hazellead")), Discovery(records)
+    workers = [Worker(f"w{n}", records, lambda identity: slot.port) for n in range(6)]
+    try:
+        for worker in workers:
+            await worker.begin()
+            discovery.add(worker)
+        slot.discovery = await discovery.open_for(slot.name)
+        assert await (await slot.start()).ready()
+        yield Stand(slot, records)
+    finally:
+        await slot.close()
+        for worker in workers:
+            worker.close()
+        for door in discovery.doors.values():
+            door.close()
+
+
+async def end(slot: Slot) -> None:
+    slot.alive[0].send(signal.SIGTERM)
+    await asyncio.sleep(KILL_AFTER_S)
+
+
+async def replace(slot: Slot) -> None:
+    old = slot.alive[0]
+    new: Process = await slot.start()
+    assert await new.ready()
+    old.send(signal.SIGTERM)
+    await old.watching
+
+
+@pytest.mark.parametrize("step", [end, replace])
+def test_a_request_that_has_begun_is_answered_whatever_its_process_does(
+    step: Callable[[Slot], Awaitable[None]], tmp_path: Path,
+) -> None:
+    async def case() -> None:
+        async with standing(tmp_path) as stand:
+            lines = [await stand.connect() for _ in range(int((KILL_AFTER_S + SETTLE_S) / SPACING_S))]
+            for at in range(0, len(lines), TOGETHER):  # so that all rest between two requests
+                await asyncio.gather(*(stand.ask(line, 1) for line in lines[at:at + TOGETHER]))
+            begin = asyncio.get_running_loop().time() + 0.1
+            stepping = asyncio.ensure_future(step(stand.slot))
+
+            async def late(n: int, line: Line) -> Request:
+                await asyncio.sleep(max(0.0, begin + n * SPACING_S - asyncio.get_running_loop().time()))
+                return await stand.ask(line, 1 + n % 3)
+
+            requests = await asyncio.gather(*(late(n, line) for n, line in enumerate(lines)))
+            await stepping
+            violations = judge(stand.records)
+            assert not violations, "\n".join(map(str, violations))
+            assert sum(bool(r.answers) for r in requests) > len(requests) / 3
+
+    run(case())
