--- a/hazellead/lab/soak/__main__.py
+++ b/hazellead/lab/soak/__main__.py
@@ -4,16 +4,16 @@
 """
 
 import argparse
-import asyncio
 import sys
 from collections import Counter
 from collections.abc import Sequence
+from concurrent.futures import as_completed
 from pathlib import Path
 
 from hdrh.histogram import HdrHistogram
 
 from hazellead.lab.soak.plan import LENGTH_S, draw
-from hazellead.lab.soak.play import Outcome, play
+from hazellead.lab.soak.play import Outcome, apart, play_here
 from hazellead.lab.soak.processes import program_of
 from hazellead.lab.soak.records import Records
 
@@ -35,22 +35,26 @@
     return parser.parse_args(arguments)
 
 
-async def play_all(given: argparse.Namespace) -> list[Outcome]:
+def play_all(given: argparse.Namespace) -> list[Outcome]:
     """Play all runs, some side by side, and print each as it ends."""
     program = program_of(given.program)
-    room = asyncio.Semaphore(given.at_once)
+    outcomes = []
+    with apart(given.at_once) as players:
+        seeds = range(given.seed, given.seed + given.runs)
+        plays = [players.submit(play_here, draw(seed, given.seconds), program, given.keep) for seed in seeds]
+        for ended in as_completed(plays):
+            outcomes.append(ended.result())
+            print_outcome(outcomes[-1])
+    return outcomes
 
-    async def one(seed: int) -> Outcome:
-        async with room:
-            outcome = await play(draw(seed, given.seconds), program, given.keep)
-        print(line(outcome), flush=True)
-        for violation in outcome.violations:
-            print(f"  {violation}", flush=True)
-        if outcome.violations:
-            print(f"  again: {outcome.command}; kept in {outcome.folder}", flush=True)
-        return outcome
 
-    return await asyncio.gather(*(one(seed) for seed in range(given.seed, given.seed + given.runs)))
+def print_outcome(outcome: Outcome) -> None:
+    """Print one run, with all that it broke and the command that plays it again."""
+    print(line(outcome), flush=True)
+    for violation in outcome.violations:
+        print(f"  {violation}", flush=True)
+    if outcome.violations:
+        print(f"  again: {outcome.command}; kept in {outcome.folder}", flush=True)
 
 
 def line(outcome: Outcome) -> str:
@@ -92,7 +96,7 @@
 
 def main() -> int:
     """Play and report."""
-    outcomes = asyncio.run(play_all(parse(sys.argv[1:])))
+    outcomes = play_all(parse(sys.argv[1:]))
     print(report(outcomes))
     return int(any(outcome.violations for outcome in outcomes))
 
--- a/hazellead/lab/soak/play.py
+++ b/hazellead/lab/soak/play.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import json
+import multiprocessing
 import signal
 import tempfile
 import time
 from collections.abc import Coroutine, Sequence
+from concurrent.futures import ProcessPoolExecutor
 from contextlib import suppress
 from dataclasses import dataclass
 from pathlib import Path
@@ -289,6 +291,19 @@
     return Outcome(plan, run.records, violations, time.monotonic() - began, kept)
 
 
+def play_here(plan: Plan, program: Sequence[str], keep: Path | None = None) -> Outcome:
+    """Play one run in this process."""
+    return asyncio.run(play(plan, program, keep))
+
+
+def apart(runs: int) -> ProcessPoolExecutor:
+    """Return what plays so many runs side by side with ``play_here``.
+
+    Each has a process of its own: the stand-ins of one run are not held up by another's.
+    """
+    return ProcessPoolExecutor(runs, mp_context=multiprocessing.get_context("spawn"), max_tasks_per_child=1)
+
+
 def _keep(
     plan: Plan, records: Records, violations: Sequence[Violation], folder: Path, keep: Path,
 ) -> Path:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,5 @@
 """The soak test: its referee catches each scheduler that is broken on purpose, and clears the real one."""
 
-import asyncio
 from dataclasses import replace
 from pathlib import Path
 
@@ -18,13 +17,14 @@
     WorkerStep,
     draw,
 )
-from hazellead.lab.soak.play import Outcome, play
+from hazellead.lab.soak.play import apart, play_here
 from hazellead.lab.soak.processes import program_of
 from hazellead.lab.soak.workers import Mode
 
 BROKEN = Path(__file__).with_name("broken_scheduler.py")
 SEEDS = (14, 27, 101)  # a fixed few; `make soak` plays others
 SECONDS = 8.0
+SIDE_BY_SIDE = 4
 RULES = {
     "answers_twice": "final answer", "answers_late": "final answer", "never_answers": "final answer",
     "closes_unanswered": "final answer", "serves_its_own": "final answer", "ignores_drains": "drain",
@@ -42,26 +42,14 @@
         leaving=(LeaveStep(1.0, 2, "draining"),), length=5.0)
 
 
-def played(plan: Plan, program: str, keep: Path) -> Outcome:
-    return asyncio.run(play(plan, program_of(program), keep))
-
-
 def test_the_referee_clears_the_scheduler_and_catches_each_that_is_broken_on_purpose(tmp_path: Path) -> None:
-    async def all_ways() -> dict[str, Outcome]:
-        room = asyncio.Semaphore(4)
-
-        async def one(arguments: str) -> Outcome:
-            async with room:
-                return await play(small_plan(), program_of(arguments), tmp_path)
-
-        names = ["", *WAYS]
-        outcomes = await asyncio.gather(
-            *(one(f"{BROKEN} {name}" if name else "-m hazellead") for name in names))
-        return dict(zip(names, outcomes, strict=True))
-
     assert set(RULES) == set(WAYS)
-    outcomes = asyncio.run(all_ways())
-    assert not outcomes.pop("").violations
+    with apart(SIDE_BY_SIDE) as players:
+        plays = {way: players.submit(play_here, small_plan(), program_of(f"{BROKEN} {way}"), tmp_path)
+                 for way in WAYS}
+        sound = players.submit(play_here, small_plan(), program_of("-m hazellead"), tmp_path)
+        outcomes = {way: ended.result() for way, ended in plays.items()}
+        assert not sound.result().violations
     for way, outcome in outcomes.items():
         found = {violation.rule for violation in outcome.violations}
         assert RULES[way] in found, f"{way}: {found}"
@@ -69,7 +57,7 @@
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_a_drawn_run_breaks_no_rule(seed: int, tmp_path: Path) -> None:
-    outcome = played(draw(seed, SECONDS), "-m hazellead", tmp_path)
+    outcome = play_here(draw(seed, SECONDS), program_of("-m hazellead"), tmp_path)
     assert not outcome.violations, report([outcome]) + "".join(f"\n{v}" for v in outcome.violations)
     assert len(outcome.records.requests) > 100
 
@@ -85,6 +73,6 @@
 def test_a_hand_over_under_load_breaks_no_rule(tmp_path: Path) -> None:
     step = SignalStep(1.0, Signals.REPLACE_TWICE, Whom.ALL, 0.0)
     plan = replace(small_plan(), slots=2, signals=(step,), trouble=(), leaving=())
-    outcome = played(plan, "-m hazellead", tmp_path)
+    outcome = play_here(plan, program_of("-m hazellead"), tmp_path)
     assert not outcome.violations
     assert len(outcome.records.lives) == 6
