--- a/hazellead/lab/soak/plan.py
+++ b/hazellead/lab/soak/plan.py
@@ -32,6 +32,7 @@
     JobClass("pay", Effect.SINGLE_SHOT, 3.0), JobClass("book", Effect.GUARDED, 2.0),
     JobClass("look", Effect.FREE, 1.0))
 GUARDED_S = 0.8  # for which a repeat of a guarded job is discarded
+LONGEST_HOLDUP_S = 0.08  # of a scheduler: under the 0.1 s in which it has to heed a client that leaves
 LONGEST_S = max(kind.deadline for kind in CLASSES)  # after this a planned restart is timed
 
 
@@ -49,6 +50,9 @@
     TERM_IN_START = "TERM during a start"
     KILL = "KILL"
     KILL_IN_REPLACE = "KILL of the successor during a hand-over"
+    TERM_OF_SUCCESSOR = "TERM of the successor during a hand-over"
+    KILL_OF_OLD = "KILL of the old process during a hand-over"
+    HUP_OF_BOTH = "HUP of both during a hand-over"
 
 
 class Whom(Enum):
@@ -117,6 +121,7 @@
     signals: tuple[SignalStep, ...]
     trouble: tuple[WorkerStep, ...]
     leaving: tuple[LeaveStep, ...]
+    holdup: float = 0.0  # seconds for which schedulers are held up again and again; 0: never
     length: float = LENGTH_S
 
     def faults(self) -> list[str]:
@@ -126,7 +131,8 @@
         found += [f"worker {step.state}" for step in self.leaving]
         if self.discovery is not DiscoveryTrouble.NONE:
             found.append(f"discovery {self.discovery.value}")
-        return found + ["crowd of idle clients"] * bool(self.idle_crowd)
+        found += ["crowd of idle clients"] * bool(self.idle_crowd)
+        return found + ["schedulers held up"] * bool(self.holdup)
 
 
 def streams(seed: int, count: int) -> list[np.random.Generator]:
@@ -136,7 +142,7 @@
 
 def draw(seed: int, length: float = LENGTH_S) -> Plan:
     """Draw a run."""
-    size, signals, trouble, discovery = streams(seed, 4)
+    size, signals, trouble, discovery, holdups = streams(seed, 5)
     slots, workers = int(size.integers(1, 4)), int(size.integers(4, 9))
     crowded = bool(size.random() < 0.25)
     kind = list(DiscoveryTrouble)[int(discovery.integers(len(DiscoveryTrouble)))]
@@ -145,7 +151,8 @@
         seed, slots, workers, int(size.integers(6, 13)), 256 if crowded else 1024, 150 if crowded else 0,
         float(size.uniform(QUIET_S, length / 2)), kind, discovery_at, float(discovery.uniform(2.0, 8.0)),
         _signals(signals, length), _trouble(trouble, workers, length),
-        _leaving(discovery, workers, discovery_at, length), length)
+        _leaving(discovery, workers, discovery_at, length),
+        LONGEST_HOLDUP_S if holdups.random() < 0.3 else 0.0, length)
 
 
 def _signals(rng: np.random.Generator, length: float) -> tuple[SignalStep, ...]:
--- a/hazellead/lab/soak/play.py
+++ b/hazellead/lab/soak/play.py
@@ -129,6 +129,8 @@
         steps += [self._trouble(step) for step in plan.trouble]
         steps += [self._leave(step) for step in plan.leaving]
         steps += [self._discovery_trouble(), asyncio.sleep(plan.length)]
+        if plan.holdup:
+            steps += [self._hold_up(slot) for slot in self._slots]
         if plan.idle_crowd:
             steps += [self._crowd(slot) for slot in self._slots]
         return steps
@@ -189,6 +191,18 @@
         await IdleCrowd(slot.port, self._plan.idle_crowd).hold(CROWD_S)
         self._traffic.crowded.discard(slot.name)
 
+    async def _hold_up(self, slot: Slot) -> None:
+        """Stop the processes of a scheduler for a moment, again and again."""
+        rng = streams(self._plan.seed, 1)[0]
+        while asyncio.get_running_loop().time() < self._began + self._plan.length:
+            await asyncio.sleep(float(rng.uniform(0.1, 0.6)))
+            stopped = slot.alive
+            for process in stopped:
+                process.send(signal.SIGSTOP)
+            await asyncio.sleep(float(rng.uniform(0.01, self._plan.holdup)))
+            for process in stopped:
+                process.send(signal.SIGCONT)
+
     # Signals.
 
     async def _signals(self, step: SignalStep) -> None:
@@ -255,11 +269,18 @@
         if step.signals is Signals.TERM_IN_REPLACE:
             await asyncio.sleep(step.gap)
             old.send(signal.SIGTERM)
-        elif step.signals is Signals.KILL_IN_REPLACE:
+        elif step.signals in (Signals.KILL_IN_REPLACE, Signals.TERM_OF_SUCCESSOR):
             await asyncio.sleep(step.gap)
-            new.send(signal.SIGKILL)
+            new.send(signal.SIGKILL if step.signals is Signals.KILL_IN_REPLACE else signal.SIGTERM)
             await new.watching
             return
+        elif step.signals is Signals.KILL_OF_OLD:
+            await asyncio.sleep(step.gap)
+            old.send(signal.SIGKILL)
+        elif step.signals is Signals.HUP_OF_BOTH:
+            await asyncio.sleep(step.gap)
+            old.send(signal.SIGHUP)
+            new.send(signal.SIGHUP)
         if not await new.ready():
             if not slot.alive:
                 await self._restart(slot)
--- a/hazellead/lab/soak/processes.py
+++ b/hazellead/lab/soak/processes.py
@@ -70,7 +70,8 @@
         """Send a signal, and SIGKILL at the earliest after the first SIGTERM."""
         if not self.alive:
             return
-        self.running.send_signal(number)
+        with suppress(ProcessLookupError):  # it has just ended
+            self.running.send_signal(number)
         if number is signal.SIGKILL:
             self.life.killed = self.life.killed or _now()
         elif number is signal.SIGTERM and self.life.terminated is None:
--- a/hazellead/limits.py
+++ b/hazellead/limits.py
@@ -80,8 +80,8 @@
     watch_least: timedelta = timedelta(seconds=1)
     watch_most: timedelta = timedelta(seconds=1.5)
     watch_grace: timedelta = timedelta(milliseconds=250)  # past the wait, for the answer to arrive
-    # For which a watch that seems to have fallen silent is still listened to: discovery that goes down ends
-    # its watches up to 0.9 s after it has stopped answering them.
+    # For which a watch that seems to have fallen silent is still listened to: discovery that goes down may
+    # end it a little later.
     late_answer: timedelta = timedelta(seconds=1)
     longest_turn: timedelta = timedelta(seconds=2)  # for which a call may wait for its turn at discovery
     # Between the starts of two calls of a watch, where the first told nothing newer: discovery may answer it
