--- a/tests/test_channel_end.py
+++ b/tests/test_channel_end.py
@@ -153,3 +153,52 @@
             call_back.close()
 
     run(case())
+
+
+PASSED_AT_ONCE = 32  # connections in one message
+HEAD = 14_000  # bytes of a request's head that have come: 32 of them do not fit into a channel's buffer
+
+
+def test_connections_not_yet_written_to_a_successor_that_dies_stay_with_their_process(tmp_path: Path) -> None:
+    """A successor reads nothing and dies. What was written to it is lost with it; the rest is still answered.
+
+    Before, the channel closed the connections that waited to be written: 0 of the 28 were answered.
+    """
+    async def case() -> None:
+        port, worker = free_port(), HttpWorker("s-1", Counter[bytes](), lambda: port)
+        async with worker.serving(), program(
+                tmp_path / "old", port, worker, console=f"{HOST}:{free_port()}"):
+            path = str(tmp_path / f"hazellead-{port}.sock")
+            await until(lambda: os.path.exists(path))
+            reader, writer = await asyncio.open_unix_connection(path)
+            messages, kinds = Reader(), list[str]()
+
+            async def step(kind: str, answer: str, **body: Any) -> None:
+                writer.write(encode(Message(kind, body)))
+                while answer not in kinds:
+                    data = await asyncio.wait_for(reader.read(1 << 20), 5)
+                    assert data
+                    kinds.extend(m.kind for m in messages.feed(data))
+
+            await step("hello", "offer", version=1, listen=f"{HOST}:{port}")
+            clients = [await asyncio.open_connection(HOST, port) for _ in range(60)]
+            for n, (_, line) in enumerate(clients):
+                line.write(request(n).partition(b"\r\n\r\n")[0] + b"\r\nX-Fill: " + b"x" * HEAD)
+            await asyncio.sleep(0.2)
+            await step("ready", "commit")
+            writer.write(encode(Message("started", {})))
+            await asyncio.sleep(0.3)  # with nothing read any more
+            writer.transport.abort()
+            await asyncio.sleep(0.2)
+
+            async def answered(n: int, reader: asyncio.StreamReader, line: asyncio.StreamWriter) -> bool:
+                try:
+                    line.write(b"\r\n\r\n%d" % n)
+                    return bool(await http_message(reader))
+                except (OSError, asyncio.IncompleteReadError):
+                    return False
+
+            got = sum(await asyncio.gather(*(answered(n, *ends) for n, ends in enumerate(clients))))
+            assert got >= len(clients) - PASSED_AT_ONCE, f"{got} of {len(clients)} answered"
+
+    run(case())
