Hand-over: connections that a dead successor has got nothing of are served on

What callers saw: connections that ended with a part of their request read, where a successor died in a hand-over.

Cause: Channel.close closed all that waited to be written, connections included, though their process lives on.

Why this holds: a message whose first byte has not been written is the old process's still; it takes these back and serves them. What was written to the process that died is lost with it, as its other connections are.

--- a/hazellead/lifecycle/channel.py
+++ b/hazellead/lifecycle/channel.py
@@ -8,6 +8,7 @@
 from collections import deque
 from collections.abc import Callable, Sequence
 from contextlib import suppress
+from dataclasses import dataclass
 
 from hazellead.lifecycle.messages import MOST_DESCRIPTORS, Message, MessageError, Reader, encode
 
@@ -18,6 +19,15 @@
 Taker = Callable[[Message, list[socket.socket]], None]
 
 
+@dataclass(slots=True)
+class _Unwritten:
+    """A message of which some bytes are still to be written; its sockets go with the first byte."""
+
+    message: Message
+    data: memoryview
+    sockets: list[socket.socket]
+
+
 class Channel:
     """One end. ``taker`` gets each message with its sockets, which are then its own to close."""
 
@@ -27,7 +37,7 @@
         self._sock, self._taker, self._ended = sock, taker, ended
         self._loop = asyncio.get_running_loop()
         self._reader, self._came = Reader(), deque[socket.socket]()
-        self._out: deque[tuple[memoryview, list[socket.socket]]] = deque()
+        self._out: deque[_Unwritten] = deque()
         self._peer_closed = False  # nothing more can be written; what it has written may still be unread
         self.open = True
         self._loop.add_reader(sock, self._readable)
@@ -37,52 +47,63 @@
         """Return how many messages are not written yet."""
         return len(self._out)
 
+    @property
+    def writable(self) -> bool:
+        """Say whether the other side can still read what is sent."""
+        return self.open and not self._peer_closed
+
     def send(self, kind: str, sockets: Sequence[socket.socket] = (), **body: object) -> None:
         """Write a message, now or when there is room; the sockets are closed here once they are written."""
-        if not self.open or self._peer_closed:
+        if not self.writable:
             for sock in sockets:
                 sock.close()
             return
-        frame = encode(Message(kind, body, len(sockets)))
-        self._out.append((memoryview(frame), list(sockets)))
+        message = Message(kind, body, len(sockets))
+        self._out.append(_Unwritten(message, memoryview(encode(message)), list(sockets)))
         self._writable()
 
+    def take_unwritten(self) -> list[tuple[Message, list[socket.socket]]]:
+        """Return the messages of which the other side has got nothing, with their sockets.
+
+        They are the caller's from then on. Of use in ``ended``, after which they are dropped.
+        """
+        taken = [(unwritten.message, unwritten.sockets) for unwritten in self._out if unwritten.sockets]
+        self._out.clear()
+        return taken
+
     def close(self, reason: str = "closed here") -> None:
-        """End the channel; what is still to be written is dropped."""
+        """End the channel; what is still to be written is dropped unless it is taken in ``ended``."""
         if not self.open:
             return
         self.open = False
         self._loop.remove_reader(self._sock)
         self._loop.remove_writer(self._sock)
         self._sock.close()
-        self._drop_unwritten()
         for sock in self._came:
             sock.close()
         self._came.clear()
         self._ended(reason)
-
-    def _drop_unwritten(self) -> None:
-        for sock in (s for _, some in self._out for s in some):
-            sock.close()
-        self._out.clear()
+        for _, sockets in self.take_unwritten():
+            for sock in sockets:
+                sock.close()
 
     def _writable(self) -> None:
-        while self.open and self._out:
-            data, sockets = self._out[0]
+        while self.writable and self._out:
+            first = self._out[0]
             rights = [(socket.SOL_SOCKET, socket.SCM_RIGHTS,
-                       array.array("i", [s.fileno() for s in sockets]))] if sockets else []
+                       array.array("i", [s.fileno() for s in first.sockets]))] if first.sockets else []
             try:
-                sent = self._sock.sendmsg([data], rights)
+                sent = self._sock.sendmsg([first.data], rights)
             except BlockingIOError:
                 self._loop.add_writer(self._sock, self._writable)
                 return
             except OSError as error:
                 self._not_written(error)
                 return
-            for sock in sockets:  # they go with the first byte
+            for sock in first.sockets:  # they go with the first byte
                 sock.close()
-            self._out[0] = data[sent:], []
-            if sent == len(data):
+            first.data, first.sockets = first.data[sent:], []
+            if not first.data:
                 self._out.popleft()
         if self.open:
             self._loop.remove_writer(self._sock)
@@ -96,7 +117,6 @@
             # close now would drop them; their end is read after them.
             self._peer_closed = True
             self._loop.remove_writer(self._sock)
-            self._drop_unwritten()
         else:
             self.close(f"cannot write: {error.strerror}")
 
--- a/hazellead/lifecycle/handover.py
+++ b/hazellead/lifecycle/handover.py
@@ -341,7 +341,9 @@
     def _pass_jobs(self) -> None:
         """Offer some jobs, one batch at a time: what is parked is bounded, and so is what lies unread."""
         channel = self.channel
-        if not self._takes or self._batches.busy or channel is None or channel.waiting >= MOVED_AHEAD:
+        if not self._takes or self._batches.busy or channel is None or not channel.writable:
+            return
+        if channel.waiting >= MOVED_AHEAD:
             return
         if some := self._estate.passable(MOST_DESCRIPTORS):
             self._batches.begin({p.job.job.identity: p.job.job.identity for p, _ in some})
@@ -366,7 +368,7 @@
     def _move(self, channel: Channel) -> None:
         """Pass on what can be at this moment."""
         self._send("left", **self._estate.holds().body())
-        while channel.open and channel.waiting < MOVED_AHEAD:
+        while channel.writable and channel.waiting < MOVED_AHEAD:
             some = list(itertools.islice(self._estate.movable(), MOST_DESCRIPTORS))
             if not some:
                 break
@@ -375,7 +377,7 @@
                 flags=["p" * m.proven + "l" * m.lasting for m in some])
 
     def _over(self, reason: str) -> None:
-        step, self._step, self.channel = self._step, _Step.ALONE, None
+        step, self._step, channel, self.channel = self._step, _Step.ALONE, self.channel, None
         self._clock += 1
         self._batches.void()
         self._takes = False
@@ -385,12 +387,23 @@
         if step in (_Step.COMMITTED, _Step.SUCCEEDED):
             log.warning("handover_taken_back", reason=reason)
             self._estate.take_back()
+            self._keep_unwritten(channel)
             if self._socket is None:
                 self.begin()
         elif step is _Step.OFFERED:
             log.warning("handover_broken", reason=reason)
 
 
+    def _keep_unwritten(self, channel: Channel | None) -> None:
+        """Serve the connections that the other process has not got: they are still taken on here."""
+        for message, sockets in channel.take_unwritten() if channel else ():
+            if message.kind == "connections":
+                self.follow(message, sockets)
+            else:
+                for sock in sockets:
+                    sock.close()
+
+
 class HandoverError(Exception):
     """The serving process could not be replaced; it goes on."""
 
--- a/tests/test_channel_end.py
+++ b/tests/test_channel_end.py
@@ -162,7 +162,8 @@
 def test_connections_not_yet_written_to_a_successor_that_dies_stay_with_their_process(tmp_path: Path) -> None:
     """A successor reads nothing and dies. What was written to it is lost with it; the rest is still answered.
 
-    Before, the channel closed the connections that waited to be written: 0 of the 28 were answered.
+    Before, the channel closed the connections that waited to be written, with a part of a request read: 0 of
+    28 were answered.
     """
     async def case() -> None:
         port, worker = free_port(), HttpWorker("s-1", Counter[bytes](), lambda: port)
