--- a/hazellead/__main__.py
+++ b/hazellead/__main__.py
@@ -32,10 +32,10 @@
 
 # Optional parts are imported where they are used: restarts on the platform need not wait for their libraries.
 if TYPE_CHECKING:
-    from hazellead.lifecycle.handover import Inheritance
+    from hazellead.lifecycle.handover import HandoverTarget
     from hazellead.operators import Operators
     from hazellead.peers.service import PeerService
-    from hazellead.platform.estate import PlatformEstate
+    from hazellead.platform.handover import PlatformHandover
 
 log = structlog.get_logger()
 
@@ -70,11 +70,12 @@
     """One scheduler and the fronts before it."""
 
     def __init__(
-        self, given: config.Config, operators: "Operators | None", heir: "Inheritance | None" = None,
+        self, given: config.Config, operators: "Operators | None",
+        predecessor: "HandoverTarget | None" = None,
     ) -> None:
         """Put the parts together and listen. Jobs are taken from now on, but it is ready after ``start``.
 
-        With an ``heir`` another process serves at the address, and is replaced in ``start``.
+        With an ``predecessor`` another process serves at the address, and is replaced in ``start``.
         """
         self.given, self.operators = given, operators
         clock, self.limits = Clock(), given.limits
@@ -100,9 +101,9 @@
                 pushed=not given.settings.must_ask, known_elsewhere=given.known_elsewhere, clock=clock)
             self.workers = HttpWorkers(self.watch, given.limits, clock)
             self.scheduler.connect(self.workers, self.watch)
-        self.estate: PlatformEstate | None = None
+        self.handover: PlatformHandover | None = None
         self.front = Front(self.scheduler, given.names, lambda *event: (
-            self.estate or self.workers).call_back(*event), lambda: self.life.up, self.takes_jobs)
+            self.handover or self.workers).call_back(*event), lambda: self.life.up, self.takes_jobs)
         self.server = HttpServer(
             given.limits, clock, self.front.handle, lambda: self.life.ends_connections(clock.now()))
         self.console: HttpServer | None = None
@@ -111,11 +112,11 @@
             self.console = HttpServer(console_limits, clock, Console(self).handle, lambda: True)
             listen(self.console, given.console, console_limits.backlog)
         if self.watch and given.handover:
-            from hazellead.platform import estate
+            from hazellead.platform import handover
 
-            self.estate = estate.PlatformEstate(
+            self.handover = handover.PlatformHandover(
                 self.life, clock, self.scheduler, self.server, self.workers, self.watch, given, self.front,
-                lambda: listen(self.server, given.listen, given.limits.backlog), heir)
+                lambda: listen(self.server, given.listen, given.limits.backlog), predecessor)
         else:
             listen(self.server, given.listen, self.limits.backlog)
         if operators and operators.gearman and self.gearman:
@@ -140,11 +141,11 @@
             await self.watch.first_list(self.limits.first_list, hurry)
         if self.peers:
             await self.peers.start()
-        if self.estate:
-            await self.estate.succeed()
+        if self.handover:
+            await self.handover.succeed()
         self.life.start(self.clock.now())
-        if self.estate:
-            self.estate.bequeath()
+        if self.handover:
+            self.handover.offer_handover()
         log.info("ready", name=given.name, listen=config.written(given.listen),
                  classes=",".join(given.names.classes))
 
@@ -250,8 +251,8 @@
         self.scheduler.end_by(now + self.limits.answer_by)
         self.drainer.start()
         by = now + self.limits.answer_by
-        if self.estate:
-            self.estate.end_by(by)
+        if self.handover:
+            self.handover.end_by(by)
         while self.life.succeeded and self.server.connections and self.clock.now() < by:
             await asyncio.sleep(self.limits.drain_pause.total_seconds())  # they are answered, then passed on
         while not self.life.succeeded and self.takes_jobs():
@@ -270,8 +271,8 @@
             await self.peers.stop()
         self.sweeper.stop()
         self.drainer.stop()
-        if self.estate:
-            await self.estate.end()
+        if self.handover:
+            await self.handover.end()
         if self.console:
             await self.console.finish()
         log.info("stopped")
@@ -303,12 +304,12 @@
         loop.add_signal_handler(number, end)
     loop.add_signal_handler(signal.SIGHUP, note_early)
     given, operators = load(operators_file)
-    heir = None
+    predecessor = None
     if given.handover and os.path.exists(given.handover):
-        from hazellead.platform import estate
+        from hazellead.platform import handover
 
-        given, heir = await estate.ask(given, given.handover)
-    program = Program(given, operators, heir)
+        given, predecessor = await handover.ask(given, given.handover)
+    program = Program(given, operators, predecessor)
     await program.start(hurry)
 
     def reload() -> None:
--- a/hazellead/lifecycle/handover.py
+++ b/hazellead/lifecycle/handover.py
@@ -1,7 +1,7 @@
 """One process leaves its address to the next: the steps of both sides over a channel, each with a time limit.
 
-The old side is a ``Bequest``: it listens at a path and serves one successor at a time. The new side is an
-``Inheritance``. Whatever breaks before the new one has started, the old one goes on as if nothing had been.
+The old side is a ``HandoverSource``: it listens at a path and serves one successor at a time. The new side is
+a ``HandoverTarget``. Whatever breaks before the new one has started, the old one goes on as before.
 """
 
 import asyncio
@@ -9,19 +9,20 @@
 import itertools
 import os
 import socket
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
-from typing import Any, Protocol
+from typing import Any
 
 import structlog
 
 from hazellead.lifecycle import channel
 from hazellead.lifecycle.channel import Channel
+from hazellead.lifecycle.handover_roles import HandoverPeer, Holds, NobodyYet, Predecessor
 from hazellead.lifecycle.messages import MOST_DESCRIPTORS, VERSION, Message, MessageError
-from hazellead.lifecycle.passing import Batches, PassedJob
+from hazellead.lifecycle.passing import Batches
 from hazellead.net.server import Detached
 
 log = structlog.get_logger()
@@ -47,106 +48,12 @@
 MOVED_AHEAD = 16  # messages not written yet, over which no more connections are moved
 
 
-@dataclass(slots=True, frozen=True)
-class Holds:
-    """What a process still has open: connections of clients and to workers, and attempts by worker's name.
-
-    Of attempts, how many are out and how many of these have not begun. ``taken`` are ids that it has taken
-    since it last told: of requests whose head had come before the hand-over.
-    """
-
-    clients: int = 0
-    workers: int = 0
-    attempts: dict[str, tuple[int, int]] = field(default_factory=dict)
-    taken: list[str] = field(default_factory=list)
-
-    def body(self) -> dict[str, Any]:
-        """Write it as a message."""
-        return {"connections": self.clients, "workers": self.workers, "attempts": self.attempts,
-                "taken": self.taken}
-
-    @staticmethod
-    def read(message: Message) -> "Holds":
-        """Read it from a message; raises MessageError."""
-        given = message.body.get("attempts")
-        try:
-            attempts = {uid: (int(held), int(waiting)) for uid, (held, waiting) in given.items()}  # type: ignore[union-attr]
-        except (AttributeError, TypeError, ValueError):
-            raise MessageError("left.attempts is malformed") from None
-        return Holds(
-            message.number("connections"), message.number("workers"), attempts, message.texts("taken"))
-
-
-class Neighbour(Protocol):
-    """What either process does for the other."""
-
-    def take_call_back(
-        self, identity: str, sender: str, state: str, rest: Any,
-    ) -> "asyncio.Future[int] | None":
-        """Take in a call-back that reached the other process; raises MessageError if it is malformed.
-
-        The future gives the answer; None: 200, at once.
-        """
-
-    def adopt(self, given: Detached) -> None:
-        """Serve a connection from now on."""
-
-    def other_holds(self, holds: Holds) -> None:
-        """Leave room for what the other process still has open, and heed what it has at workers."""
-
-    def offered(self, number: int, jobs: Sequence[tuple[PassedJob, socket.socket]]) -> list[str]:
-        """Hold jobs of the other process still, and return the ids of those that could be gone on with here.
-
-        The sockets of the others are closed, as are those of an earlier batch that was not decided.
-        """
-
-    def decided(self, number: int, identities: Sequence[str]) -> None:
-        """Go on with these of a batch that was offered; the others stay with the other process."""
-
-    def read_job(self, body: Any) -> PassedJob:
-        """Read a job within this process's bounds; raises MessageError."""
-
-    def parted(self) -> None:
-        """Settle what was passing: there is no other process any more."""
-
-
-class Estate(Neighbour, Protocol):
-    """What the old process leaves."""
-
-    def offer(self) -> tuple[list[socket.socket], dict[str, Any]] | str:
-        """Return copies of the listening sockets and what is known; or why not now."""
-
-    def leave(self) -> dict[str, Any]:
-        """Accept no more, and tell the ids that are open and those that have ended."""
-
-    def take_back(self) -> None:
-        """Accept again: there is no successor after all."""
-
-    def movable(self) -> Iterable[Detached]:
-        """Give up connections with no job on them, one by one."""
-
-    def holds(self) -> Holds:
-        """Return what is still open here."""
-
-    def successor_takes(self) -> None:
-        """Note that the other process can go on with open jobs."""
-
-    def passable(self, most: int) -> list[tuple[PassedJob, socket.socket]]:
-        """Park some jobs that would outlast this process; the sockets are copies."""
-
-    def passed(self, identities: Sequence[str], *, refused: bool) -> None:
-        """Forget these of the parked jobs, which the other process now has, and go on with the others.
-
-        Where it has ``refused`` those, they are not offered again.
-        """
-
-
 class Link:
     """A channel between two processes that serve, whichever of them is the older."""
 
-    def __init__(self, neighbour: Neighbour) -> None:
+    def __init__(self, peer: HandoverPeer) -> None:
         """Start without a channel."""
-        self.neighbour = neighbour
+        self.peer = peer
         self.channel: Channel | None = None
         self._numbers = itertools.count(1)
         self._asked: dict[int, asyncio.Future[int]] = {}
@@ -188,7 +95,7 @@
         if message.kind == "call_back":
             number = message.number("number")
             identity, sender, state = (message.text(key) for key in ("id", "sender", "state"))
-            answer = self.neighbour.take_call_back(identity, sender, state, message.body.get("rest"))
+            answer = self.peer.take_call_back(identity, sender, state, message.body.get("rest"))
             if answer is None:
                 self._send("answered", number=number, status=200)
             else:
@@ -197,7 +104,7 @@
         elif message.kind == "answered":
             self._answer(message.number("number"), message.number("status"))
         elif message.kind == "left":
-            self.neighbour.other_holds(Holds.read(message))
+            self.peer.other_holds(Holds.read(message))
         elif message.kind == "connections":
             try:
                 read = [base64.b64decode(text, validate=True) for text in message.texts("read")]
@@ -207,7 +114,7 @@
             if not len(read) == len(flags) == len(sockets):
                 raise MessageError("connections do not match their descriptors")
             for sock, data, flag in zip(sockets, read, flags, strict=True):
-                self.neighbour.adopt(Detached(sock, data, "p" in flag, "l" in flag))
+                self.peer.adopt(Detached(sock, data, "p" in flag, "l" in flag))
         else:
             return False
         return True
@@ -216,8 +123,8 @@
         """Settle what the other process will not answer any more: its jobs have ended with it."""
         for number in list(self._asked):
             self._answer(number, 200)
-        self.neighbour.parted()
-        self.neighbour.other_holds(Holds())
+        self.peer.parted()
+        self.peer.other_holds(Holds())
 
 
 class _Step(Enum):
@@ -227,13 +134,13 @@
     SUCCEEDED = "succeeded"
 
 
-class Bequest(Link):
+class HandoverSource(Link):
     """The old side."""
 
-    def __init__(self, path: str, listen: str, estate: Estate) -> None:
+    def __init__(self, path: str, listen: str, host: Predecessor) -> None:
         """Offer nothing yet."""
-        super().__init__(estate)
-        self._path, self._listen, self._estate = path, listen, estate
+        super().__init__(host)
+        self._path, self._listen, self._host = path, listen, host
         self._socket: socket.socket | None = None
         self._step, self._clock = _Step.ALONE, 0  # the second counts steps: earlier ones' limits are void
         self._final = self._takes = False  # the second: the successor can go on with open jobs
@@ -304,13 +211,13 @@
         elif step is _Step.OFFERED and message.kind == "ready":
             self._step = _Step.COMMITTED
             self._limit(STEPS.commit)
-            self._send("commit", **self._estate.leave())
+            self._send("commit", **self._host.leave())
         elif step is _Step.COMMITTED and message.kind == "started":
             self._step = _Step.SUCCEEDED
             self.stop()
             log.info("handed_over")
             if self._takes:
-                self._estate.successor_takes()
+                self._host.successor_takes()
             self._tick()
         elif step is _Step.SUCCEEDED and message.kind == "jobs_ready":
             self._decide(message.number("number"), message.texts("ids"))
@@ -323,7 +230,7 @@
         if message.number("version") != VERSION or message.text("listen") != self._listen:
             self._send("no", why="another version or address", again=False)
             return
-        offer = self._estate.offer()
+        offer = self._host.offer()
         if isinstance(offer, str):
             self._send("no", why=offer, again=True)
             return
@@ -345,7 +252,7 @@
             return
         if channel.waiting >= MOVED_AHEAD:
             return
-        if some := self._estate.passable(MOST_DESCRIPTORS):
+        if some := self._host.passable(MOST_DESCRIPTORS):
             self._batches.begin({p.job.job.identity: p.job.job.identity for p, _ in some})
             number = self._batches.number
             asyncio.get_running_loop().call_later(STEPS.jobs.total_seconds(), self._decide, number, None)
@@ -361,15 +268,15 @@
             return
         yours, _ = self._batches.settle(number, ready or ())
         self._send("jobs_yours", number=number, ids=yours)
-        self._estate.passed(yours, refused=ready is not None)
+        self._host.passed(yours, refused=ready is not None)
         if ready is not None:
             self._pass_jobs()
 
     def _move(self, channel: Channel) -> None:
         """Pass on what can be at this moment."""
-        self._send("left", **self._estate.holds().body())
+        self._send("left", **self._host.holds().body())
         while channel.writable and channel.waiting < MOVED_AHEAD:
-            some = list(itertools.islice(self._estate.movable(), MOST_DESCRIPTORS))
+            some = list(itertools.islice(self._host.movable(), MOST_DESCRIPTORS))
             if not some:
                 break
             channel.send(
@@ -386,7 +293,7 @@
             return
         if step in (_Step.COMMITTED, _Step.SUCCEEDED):
             log.warning("handover_taken_back", reason=reason)
-            self._estate.take_back()
+            self._host.take_back()
             self._keep_unwritten(channel)
             if self._socket is None:
                 self.begin()
@@ -412,12 +319,12 @@
     """The serving process has ended the channel."""
 
 
-class Inheritance(Link):
+class HandoverTarget(Link):
     """The new side, before and after it serves."""
 
     def __init__(self) -> None:
-        """Hold nothing yet; ``neighbour`` must be set before ``commit``."""
-        super().__init__(_Nobody())
+        """Hold nothing yet; ``peer`` must be set before ``commit``."""
+        super().__init__(NobodyYet())
         self.sockets: list[socket.socket] = []
         self.body: dict[str, Any] = {}
         self._waiting: asyncio.Future[Message] | None = None
@@ -429,7 +336,7 @@
         return self.open and self._serving
 
     async def ask(self, path: str, listen: str) -> bool:
-        """Ask whoever serves for its estate. False: nobody does, or it cannot be asked.
+        """Ask whoever serves to be replaced. False: nobody does, or it cannot be asked.
 
         Raises HandoverError where one serves and does not let itself be replaced.
         """
@@ -496,15 +403,15 @@
                 number, jobs = message.number("number"), message.body.get("jobs")
                 if not isinstance(jobs, list) or not 0 < len(jobs) == len(sockets):
                     raise MessageError("jobs do not match their descriptors")
-                read = [self.neighbour.read_job(body) for body in jobs]
+                read = [self.peer.read_job(body) for body in jobs]
             except MessageError:
                 for sock in sockets:
                     sock.close()
                 raise
-            self._send("jobs_ready", number=number, ids=self.neighbour.offered(
+            self._send("jobs_ready", number=number, ids=self.peer.offered(
                 number, list(zip(read, sockets, strict=True))))
         elif self._serving and message.kind == "jobs_yours":
-            self.neighbour.decided(message.number("number"), message.texts("ids"))
+            self.peer.decided(message.number("number"), message.texts("ids"))
         elif not self._serving or not self.follow(message, sockets):
             for sock in sockets:
                 sock.close()
@@ -516,33 +423,3 @@
         elif self._serving:
             log.info("predecessor_ended", reason=reason)
         self.ended()
-
-
-class _Nobody:
-    """Stands in until there is somebody to act."""
-
-    def take_call_back(self, identity: str, sender: str, state: str, rest: Any) -> None:
-        """Pass over."""
-
-    def read_job(self, body: Any) -> PassedJob:
-        """Take none."""
-        raise MessageError("jobs out of turn")
-
-    def offered(self, number: int, jobs: Sequence[tuple[PassedJob, socket.socket]]) -> list[str]:
-        """Take none."""
-        for _, sock in jobs:
-            sock.close()
-        return []
-
-    def decided(self, number: int, identities: Sequence[str]) -> None:
-        """Pass over."""
-
-    def parted(self) -> None:
-        """Pass over."""
-
-    def adopt(self, given: Detached) -> None:
-        """Close."""
-        given.sock.close()
-
-    def other_holds(self, holds: Holds) -> None:
-        """Pass over."""
--- a/hazellead/platform/estate.py
+++ b/hazellead/platform/handover.py
@@ -15,7 +15,8 @@
 from hazellead.core.passing import Passing, UnknownError
 from hazellead.core.scheduler import Scheduler
 from hazellead.lifecycle import state
-from hazellead.lifecycle.handover import STEPS, Bequest, HandoverError, Holds, Inheritance
+from hazellead.lifecycle.handover import STEPS, HandoverError, HandoverSource, HandoverTarget
+from hazellead.lifecycle.handover_roles import Holds
 from hazellead.lifecycle.machine import LifeCycle, Phase
 from hazellead.lifecycle.messages import MessageError
 from hazellead.lifecycle.passing import Batches, PassedJob
@@ -70,15 +71,15 @@
     answer.set_result(given.result())
 
 
-class PlatformEstate:
+class PlatformHandover:
     """A platform's scheduler as one that another process replaces, or that replaces another."""
 
     def __init__(
         self, life: LifeCycle, clock: Clock, scheduler: Scheduler, server: HttpServer, workers: HttpWorkers,
         watch: Watch, given: Config, front: Front, listen: Callable[[], list[socket.socket]],
-        heir: Inheritance | None,
+        predecessor: HandoverTarget | None,
     ) -> None:
-        """Act on these. With an ``heir`` another process serves at the address; else listen now."""
+        """Act on these. With an ``predecessor`` another process serves at the address; else listen now."""
         assert given.handover
         self._life, self._clock, self._scheduler, self._server = life, clock, scheduler, server
         self._workers, self._watch, self._front = workers, watch, front
@@ -90,12 +91,12 @@
         self._taken = 0  # jobs taken over
         self._told: frozenset[str] = frozenset()  # ids that the process after this one knows
         self._kept: list[socket.socket] = []  # the listening sockets, while another process accepts on them
-        self._listen, self._heir = listen, heir
-        self._bequest = Bequest(given.handover, written(given.listen), self)
+        self._listen, self._predecessor = listen, predecessor
+        self._successor = HandoverSource(given.handover, written(given.listen), self)
         self._sockets: list[socket.socket] = []  # those that this process listens at
-        if heir:
-            heir.neighbour = self
-            self._inherit(heir.body)
+        if predecessor:
+            predecessor.peer = self
+            self._inherit(predecessor.body)
         else:
             self._sockets = listen()
 
@@ -115,20 +116,20 @@
 
     async def succeed(self) -> None:
         """Replace the process that serves, if there is one; raises ConfigError if that cannot be."""
-        if self._heir is None:
+        if self._predecessor is None:
             return
         try:
-            commit = await self._heir.commit()
+            commit = await self._predecessor.commit()
             self._scheduler.remember([*commit.texts("ended"), *commit.texts("open")])
         except (HandoverError, MessageError) as error:
             # It may have died, and the address is free; else it serves on, and this process ends here.
             log.warning("handover_refused", reason=str(error))
-            self._heir.drop()
+            self._predecessor.drop()
             self._sockets = self._listen()
             return
-        self._sockets = self._heir.sockets
+        self._sockets = self._predecessor.sockets
         self._server.add_sockets(self._sockets)
-        self._heir.started()
+        self._predecessor.started()
         log.info("took_over")
 
     def _names(self) -> tuple[list[str], list[str]]:
@@ -139,9 +140,9 @@
 
     # As the one that is replaced.
 
-    def bequeath(self) -> None:
+    def offer_handover(self) -> None:
         """Let another process replace this one from now on."""
-        self._bequest.begin()
+        self._successor.begin()
 
     def offer(self) -> tuple[list[socket.socket], dict[str, Any]] | str:
         """Return copies of the listening sockets and what is known, or why not now."""
@@ -309,8 +310,8 @@
 
     async def end(self) -> None:
         """Serve no successor any more."""
-        await self._bequest.written()
-        self._bequest.end()
+        await self._successor.written()
+        self._successor.end()
         for sock in self._kept:
             sock.close()
         self._kept = []
@@ -322,7 +323,7 @@
         if between := self._between(identity):
             return between.hold((identity, sender, state, rest))
         if not self._workers.awaits(identity, sender):
-            for link in (self._heir, self._bequest):
+            for link in (self._predecessor, self._successor):
                 if link and (elsewhere := link.pass_call_back(identity, sender, state, rest)):
                     return elsewhere
         self._workers.call_back(identity, sender, state, rest)
@@ -343,7 +344,7 @@
         if between := self._between(identity):
             return between.hold((identity, sender, state, rest))
         if identity in self._parted:
-            return self._bequest.pass_call_back(identity, sender, state, rest)
+            return self._successor.pass_call_back(identity, sender, state, rest)
         self._workers.call_back(identity, sender, state, rest)
         return None
 
@@ -363,19 +364,19 @@
         self._scheduler.remember(holds.taken)
 
 
-async def ask(given: Config, path: str) -> tuple[Config, Inheritance | None]:
+async def ask(given: Config, path: str) -> tuple[Config, HandoverTarget | None]:
     """Ask a process that serves at our address to leave it to us; with it comes its list of workers."""
-    heir = Inheritance()
+    predecessor = HandoverTarget()
     try:
-        if not await heir.ask(path, written(given.listen)):
+        if not await predecessor.ask(path, written(given.listen)):
             return given, None
     except (HandoverError, MessageError) as error:
         log.warning("handover_refused", reason=str(error))
-        heir.drop()
+        predecessor.drop()
         return given, None
-    told = heir.body.get("told")
+    told = predecessor.body.get("told")
     if isinstance(told, dict) and given.discovery:
         # Version 0: the other process had moved to its discovery and not been told a list there yet.
-        same = heir.body.get("discovery") == written(given.discovery) and bool(told.get("rev"))
+        same = predecessor.body.get("discovery") == written(given.discovery) and bool(told.get("rev"))
         given = replace(given, known=told, known_elsewhere=not same)
-    return given, heir
+    return given, predecessor
