--- a/hazellead/lab/soak/discovery.py
+++ b/hazellead/lab/soak/discovery.py
@@ -40,6 +40,7 @@
         self.states: dict[str, tuple[str, int]] = {}  # state and version of the last change
         self.calls_per_s, self.crowd = 100.0, Crowd.REFUSED_AT_ONCE
         self.down: Down | None = None
+        self.spoilt = False  # lists come cut, or as what is no list
         self._turn_free = 0.0
         self.doors: dict[str, Door] = {}
 
@@ -149,7 +150,10 @@
             return
         if not await self._until_news(line, index, _now() + wait):
             return
-        if line.open:
+        if line.open and self._discovery.spoilt:
+            self._answered[line] = _now()
+            line.answer(200, self._discovery.answer(index)[:-9])
+        elif line.open:
             self._discovery._records.told.append(Told(_now(), self._slot, self._discovery.version))
             self._answered[line] = _now()
             line.answer(200, self._discovery.answer(index))
--- a/hazellead/lab/soak/plan.py
+++ b/hazellead/lab/soak/plan.py
@@ -73,6 +73,7 @@
     CROWD_AT_ONCE = "crowded, refuses at once"
     CROWD_WAITS = "crowded, lets wait"
     SILENT = "silent watches"
+    SPOILT = "spoilt lists"
 
 
 @dataclass(frozen=True)
--- a/hazellead/lab/soak/play.py
+++ b/hazellead/lab/soak/play.py
@@ -172,6 +172,8 @@
                 await discovery.come_back()
             case DiscoveryTrouble.SILENT:
                 discovery.silence_watches()
+            case DiscoveryTrouble.SPOILT:
+                discovery.spoilt = True
             case DiscoveryTrouble.SLOW:
                 discovery.calls_per_s = SLOW_CALLS_PER_S
                 discovery.silence_watches()
@@ -183,7 +185,7 @@
             case DiscoveryTrouble.NONE:
                 return
         await asyncio.sleep(plan.discovery_s)
-        discovery.calls_per_s = FULL_CALLS_PER_S
+        discovery.calls_per_s, discovery.spoilt = FULL_CALLS_PER_S, False
 
     async def _crowd(self, slot: Slot) -> None:
         await self._at(self._plan.crowd_at)
--- a/hazellead/lab/soak/workers.py
+++ b/hazellead/lab/soak/workers.py
@@ -14,6 +14,9 @@
 CALL_BACK_PAUSE_S = 0.1
 SLOTS = 4
 NEVER_RAN = {"X-Never-Ran": "1"}
+SPOILT = b"HTP/9 two hundred\r\nContent-Length: -1\r\n\r\n"
+LATE_S = 0.4  # after which a late answer comes
+REPEAT_S = 0.005  # after which a second answer comes, or a connection is reset
 
 
 class Mode(Enum):
@@ -27,6 +30,10 @@
     SILENT = "silent"  # answers nothing
     HANGS = "hangs"  # begins them and never ends them
     LOSES = "loses"  # begins them and reports them as lost
+    CLOSES = "closes"  # resets each connection soon after its answer
+    SPOILS = "spoils"  # answers what is no HTTP
+    REPEATS = "repeats"  # answers twice
+    LATE = "late"  # answers after it has begun, or ended
     DEAD = "dead"  # nobody listens
 
 
@@ -117,7 +124,7 @@
         if self.mode is Mode.SILENT:
             job.line.on_end = lambda: self._end(job)
             return
-        job.line.answer(202)
+        self._answer(job.line)
         if self.mode is Mode.RETURNS:
             job.record.may_have_run = False
             self._end(job)
@@ -126,6 +133,20 @@
         self._queue.append(job)
         self._start()
 
+    def _answer(self, line: ServerConnection) -> None:
+        """Say that a job has been taken, in the way of the mode."""
+        loop = asyncio.get_running_loop()
+        if self.mode is Mode.SPOILS:
+            line.transport.write(SPOILT)
+        elif self.mode is Mode.LATE:
+            loop.call_later(LATE_S, line.answer, 202)
+        else:
+            line.answer(202)
+        if self.mode is Mode.REPEATS:
+            loop.call_later(REPEAT_S, line.answer, 202)
+        if self.mode is Mode.CLOSES:
+            loop.call_later(REPEAT_S, line.transport.abort)
+
     def _start(self) -> None:
         """Begin what there are slots for."""
         while self._queue and sum(job.running for job in self._jobs.values()) < SLOTS:
