Soak test: SIGHUP is ignored from before the program begins; broken schedulers break more often

The stand-ins now ignore it from the fork on. And the scheduler that repeats what may have run was not caught once, as no job was repeated in that run: it now hands back each job that a worker begins.

--- a/hazellead/lab/soak/clients.py
+++ b/hazellead/lab/soak/clients.py
@@ -17,7 +17,6 @@
 PATIENCE_S = 2.0  # past its deadline, for which an answer is still waited for
 PAUSE_S = 0.05  # before another try to connect
 MOST_RETRY_AFTER_S = 0.5
-LEAVES = 0.05  # part of the requests whose client leaves
 IN_PIECES = 0.4  # part of the requests that are written in pieces
 SLOWLY = 0.2  # part of those whose pieces are far apart
 RETRIES = 0.2  # part of the requests with less time left than their class gives, as later tries have
@@ -95,6 +94,7 @@
 
     front: Front
     records: Records
+    leaves: float  # part of the requests whose client leaves
     stopped: asyncio.Event = field(default_factory=asyncio.Event)
     crowded: set[str] = field(default_factory=set)  # schedulers whose descriptors idle clients fill
     count: int = 0
@@ -162,7 +162,7 @@
         traffic.records.requests[identity] = request
         if not await self._write(line, request, data):
             return
-        leaving = float(rng.uniform(0.0, deadline)) if rng.random() < LEAVES else None
+        leaving = float(rng.uniform(0.0, deadline)) if rng.random() < traffic.leaves else None
         with suppress(TimeoutError):
             async with asyncio.timeout(leaving if leaving is not None else deadline + PATIENCE_S):
                 await line.over.wait()
--- a/hazellead/lab/soak/plan.py
+++ b/hazellead/lab/soak/plan.py
@@ -122,6 +122,7 @@
     signals: tuple[SignalStep, ...]
     trouble: tuple[WorkerStep, ...]
     leaving: tuple[LeaveStep, ...]
+    leaves: float = 0.05  # part of the requests whose client leaves before its answer
     holdup: float = 0.0  # seconds for which schedulers are held up again and again; 0: never
     length: float = LENGTH_S
 
@@ -153,7 +154,7 @@
         float(size.uniform(QUIET_S, length / 2)), kind, discovery_at, float(discovery.uniform(2.0, 8.0)),
         _signals(signals, length), _trouble(trouble, workers, length),
         _leaving(discovery, workers, discovery_at, length),
-        LONGEST_HOLDUP_S if holdups.random() < 0.3 else 0.0, length)
+        holdup=LONGEST_HOLDUP_S if holdups.random() < 0.3 else 0.0, length=length)
 
 
 def _signals(rng: np.random.Generator, length: float) -> tuple[SignalStep, ...]:
--- a/hazellead/lab/soak/play.py
+++ b/hazellead/lab/soak/play.py
@@ -69,7 +69,7 @@
         self._discovery = Discovery(self.records)
         self._workers = [Worker(f"w{n}", self.records, self._port_of) for n in range(plan.workers)]
         self._front = Front({slot.name: slot.port for slot in self._slots})
-        self._traffic = Traffic(self._front, self.records)
+        self._traffic = Traffic(self._front, self.records, plan.leaves)
         self._began = 0.0
 
     def _port_of(self, identity: str) -> int:
--- a/hazellead/lab/soak/processes.py
+++ b/hazellead/lab/soak/processes.py
@@ -135,6 +135,7 @@
         with (self.folder / f"log-{self._generation}").open("wb") as log:
             running = await asyncio.create_subprocess_exec(
                 *self._program, cwd=ROOT, stderr=log, stdout=log, stdin=asyncio.subprocess.DEVNULL,
+                preexec_fn=_ignore_hangups,
                 env={"GW_CONFIG": str(self._config), "TMPDIR": str(self.folder), "PYTHONPATH": str(ROOT)})
         process = Process(running, ProcessLife(self.name, _now()), console)
         self.processes.append(process)
@@ -172,11 +173,13 @@
 
 
 def program_of(arguments: str) -> tuple[str, ...]:
-    """Return the command that runs the scheduler, by the interpreter's arguments.
+    """Return the command that runs the scheduler, by the interpreter's arguments."""
+    return sys.executable, *arguments.split()
 
-    As in ``deploy/balancer.toml``, a SIGHUP that comes before it can heed one does not end it.
-    """
-    return "sh", "-c", f"trap '' HUP; exec {sys.executable} {arguments}"
+
+def _ignore_hangups() -> None:
+    """Ignore SIGHUP from before the program is begun, as the run line of ``deploy/balancer.toml`` does."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 
 def _now() -> float:
--- a/tests/broken_scheduler.py
+++ b/tests/broken_scheduler.py
@@ -100,13 +100,8 @@
 
 
 def repeats_what_may_have_run() -> None:
-    """Take an attempt that may have run for one that never did."""
-    before = Attempt.end
-
-    def end(self: Attempt, outcome: api.Outcome, result: bytes = b"") -> None:
-        before(self, api.Outcome.FULL if outcome in api.FAULTS else outcome, result)
-
-    Attempt.end = end  # type: ignore[method-assign]
+    """Take a job that a worker has begun for one that it has handed back."""
+    Attempt.began = lambda self: self.end(api.Outcome.FULL)  # type: ignore[method-assign]
 
 
 def refuses_what_may_have_run() -> None:
@@ -115,12 +110,12 @@
 
 
 def serves_clients_that_left() -> None:
-    """Send 0.3 s late, and go on for clients that have left."""
+    """Send 0.5 s late, and go on for clients that have left."""
     Scheduler.abandon = lambda self, number: None  # type: ignore[method-assign]
     before = workers.HttpWorkers.send
 
     def send(self: workers.HttpWorkers, attempt: Attempt) -> None:
-        asyncio.get_running_loop().call_later(0.3, before, self, attempt)
+        asyncio.get_running_loop().call_later(0.5, before, self, attempt)
 
     workers.HttpWorkers.send = send  # type: ignore[method-assign]
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -33,19 +33,25 @@
     "tells_too_much_time": "time left", "starts_slowly": "ready", "crashes": "exit"}
 
 
-def small_plan() -> Plan:
+def small_plan(leaves: float = 0.05) -> Plan:
     """Return a run in which each rule can be broken: workers hang, reset and leave; SIGTERM ends it."""
+    hanging = tuple(WorkerStep(1.0, worker, Mode.HANGS, 1.0) for worker in range(6))
+    resetting = tuple(WorkerStep(2.5, worker, Mode.RESETS, 2.0) for worker in (0, 3))
     return Plan(
         seed=1, slots=1, workers=6, clients=10, sockets=1024, idle_crowd=0, crowd_at=0,
         discovery=DiscoveryTrouble.NONE, discovery_at=0, discovery_s=0, signals=(),
-        trouble=(WorkerStep(0.5, 0, Mode.RESETS, 4.0), WorkerStep(0.5, 1, Mode.HANGS, 4.0)),
-        leaving=(LeaveStep(1.0, 2, "draining"),), length=5.0)
+        trouble=hanging + resetting, leaving=(LeaveStep(1.0, 2, "draining"),), leaves=leaves, length=5.0)
+
+
+def plan_for(way: str) -> Plan:
+    """Return the run for a way of breaking: all clients leave where that is what counts."""
+    return small_plan(leaves=1.0) if way == "serves_clients_that_left" else small_plan()
 
 
 def test_the_referee_clears_the_scheduler_and_catches_each_that_is_broken_on_purpose(tmp_path: Path) -> None:
     assert set(RULES) == set(WAYS)
     with apart(SIDE_BY_SIDE) as players:
-        plays = {way: players.submit(play_here, small_plan(), program_of(f"{BROKEN} {way}"), tmp_path)
+        plays = {way: players.submit(play_here, plan_for(way), program_of(f"{BROKEN} {way}"), tmp_path)
                  for way in WAYS}
         sound = players.submit(play_here, small_plan(), program_of("-m hazellead"), tmp_path)
         outcomes = {way: ended.result() for way, ended in plays.items()}
