--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,90 @@
+"""The soak test: its referee catches each scheduler that is broken on purpose, and clears the real one."""
+
+import asyncio
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+from broken_scheduler import WAYS
+
+from hazellead.lab.soak.__main__ import report
+from hazellead.lab.soak.plan import (
+    DiscoveryTrouble,
+    LeaveStep,
+    Plan,
+    Signals,
+    SignalStep,
+    Whom,
+    WorkerStep,
+    draw,
+)
+from hazellead.lab.soak.play import Outcome, play
+from hazellead.lab.soak.processes import program_of
+from hazellead.lab.soak.workers import Mode
+
+BROKEN = Path(__file__).with_name("broken_scheduler.py")
+SEEDS = (14, 27, 101)  # a fixed few; `make soak` plays others
+SECONDS = 8.0
+RULES = {
+    "answers_twice": "final answer", "answers_late": "final answer", "never_answers": "final answer",
+    "closes_unanswered": "final answer", "serves_its_own": "final answer", "ignores_drains": "drain",
+    "sends_twice": "second attempt", "repeats_what_may_have_run": "repeat",
+    "refuses_what_may_have_run": "refused", "serves_clients_that_left": "client left",
+    "tells_too_much_time": "time left", "starts_slowly": "ready", "crashes": "exit"}
+
+
+def small_plan() -> Plan:
+    """Return a run in which each rule can be broken: workers hang, reset and leave; SIGTERM ends it."""
+    return Plan(
+        seed=1, slots=1, workers=6, clients=10, sockets=1024, idle_crowd=0, crowd_at=0,
+        discovery=DiscoveryTrouble.NONE, discovery_at=0, discovery_s=0, signals=(),
+        trouble=(WorkerStep(0.5, 0, Mode.RESETS, 4.0), WorkerStep(0.5, 1, Mode.HANGS, 4.0)),
+        leaving=(LeaveStep(1.0, 2, "draining"),), length=5.0)
+
+
+def played(plan: Plan, program: str, keep: Path) -> Outcome:
+    return asyncio.run(play(plan, program_of(program), keep))
+
+
+def test_the_referee_clears_the_scheduler_and_catches_each_that_is_broken_on_purpose(tmp_path: Path) -> None:
+    async def all_ways() -> dict[str, Outcome]:
+        room = asyncio.Semaphore(4)
+
+        async def one(arguments: str) -> Outcome:
+            async with room:
+                return await play(small_plan(), program_of(arguments), tmp_path)
+
+        names = ["", *WAYS]
+        outcomes = await asyncio.gather(
+            *(one(f"{BROKEN} {name}" if name else "-m hazellead") for name in names))
+        return dict(zip(names, outcomes, strict=True))
+
+    assert set(RULES) == set(WAYS)
+    outcomes = asyncio.run(all_ways())
+    assert not outcomes.pop("").violations
+    for way, outcome in outcomes.items():
+        found = {violation.rule for violation in outcome.violations}
+        assert RULES[way] in found, f"{way}: {found}"
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_drawn_run_breaks_no_rule(seed: int, tmp_path: Path) -> None:
+    outcome = played(draw(seed, SECONDS), "-m hazellead", tmp_path)
+    assert not outcome.violations, report([outcome]) + "".join(f"\n{v}" for v in outcome.violations)
+    assert len(outcome.records.requests) > 100
+
+
+def test_one_seed_draws_one_run() -> None:
+    assert draw(5) == draw(5) != draw(6)
+    steps = {step.signals for seed in range(200) for step in draw(seed).signals}
+    assert steps == set(Signals)
+    assert {step.whom for seed in range(50) for step in draw(seed).signals} == set(Whom)
+    assert {draw(seed).discovery for seed in range(60)} == set(DiscoveryTrouble)
+
+
+def test_a_hand_over_under_load_breaks_no_rule(tmp_path: Path) -> None:
+    step = SignalStep(1.0, Signals.REPLACE_TWICE, Whom.ALL, 0.0)
+    plan = replace(small_plan(), slots=2, signals=(step,), trouble=(), leaving=())
+    outcome = played(plan, "-m hazellead", tmp_path)
+    assert not outcome.violations
+    assert len(outcome.records.lives) == 6
