Log process ids, list versions, the lease's basis, each refusal's reason, repeats

Every line has pid now; discovery_failed says which call failed after what wait, and again when calls begin to fail faster or more slowly; server_list_received, server_list_lease, watch_broken, job_refused and attempt_repeated are new.

--- a/hazellead/__main__.py
+++ b/hazellead/__main__.py
@@ -12,7 +12,7 @@
 import sys
 from dataclasses import replace
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import structlog
 from tornado.ioloop import IOLoop, PeriodicCallback
@@ -41,15 +41,23 @@
 log = structlog.get_logger()
 
 
+def add_process_id(_: Any, __: str, event: structlog.typing.EventDict) -> structlog.typing.EventDict:
+    """Add the process id to a log entry: processes that replace each other may share a log."""
+    event["pid"] = os.getpid()
+    return event
+
+
 def set_up_log() -> None:
     """Write one line for each log entry to standard error, unbuffered, including entries of libraries."""
-    logging.basicConfig(format="timestamp=%(asctime)s level=%(levelname)s event=library text=%(message)r")
+    logging.basicConfig(
+        format="timestamp=%(asctime)s level=%(levelname)s event=library pid=%(process)d text=%(message)r")
     structlog.configure(
         processors=[
+            add_process_id,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.format_exc_info,
-            structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "event"]),
+            structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "event", "pid"]),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
         logger_factory=structlog.WriteLoggerFactory(sys.stderr),
--- a/hazellead/core/lease.py
+++ b/hazellead/core/lease.py
@@ -11,6 +11,7 @@
 
 from dataclasses import dataclass
 from datetime import datetime, timedelta
+from enum import Enum
 
 from hazellead.limits import Limits
 
@@ -42,12 +43,24 @@
         )
 
 
+class LeaseBasis(Enum):
+    """The evidence on which the end of a lease rests."""
+
+    NONE = "none since the start"
+    LIST = "a list was received"
+    CONNECTION_REFUSED = "connections are refused"
+    LIVE_WATCH_REFUSED = "a call of a live watch was refused"
+    UNSERVED_CALLS = "calls are not served"
+    AGENT_SILENT = "the agent does not answer"
+
+
 class MembershipLease:
     """The lease of one process on its list of servers. All times are the caller's, from a monotonic clock."""
 
     def __init__(self, terms: LeaseTerms, now: datetime) -> None:
         """Start without a lease: a list from before the start proves nothing."""
         self.terms = terms
+        self.basis = LeaseBasis.NONE
         self._until = now
         self._proven: datetime | None = None  # when the list was last known to be current
         self._move_until: datetime | None = None  # set until the current discovery has sent its list
@@ -75,7 +88,7 @@
         A former discovery that is still watched after a move cannot replace the list of the current one.
         """
         self._proven = proven if self._proven is None else max(self._proven, proven)
-        self._until = max(self._until, proven + self.terms.contact)
+        self._end_at_least(proven + self.terms.contact, LeaseBasis.LIST)
         if by_present_discovery:
             self._move_until = None
             self._may_have_missed = self._outage = False
@@ -86,14 +99,14 @@
     def connection_refused(self, at: datetime) -> None:
         """Record that no process listens at discovery's address."""
         self._outage = True
-        self._extend(at)
+        self._extend(at, LeaseBasis.CONNECTION_REFUSED)
         if self._move_until is not None:
             self._move_until = max(self._move_until, at + self.terms.move)
 
     def live_watch_refused(self, at: datetime) -> None:
         """Record a refused call on a live watch: such calls do not queue, so it is no sign of an overload."""
         self._outage = True
-        self._extend(at)
+        self._extend(at, LeaseBasis.LIVE_WATCH_REFUSED)
 
     def refused_at_once(self) -> None:
         """Record that discovery refused a call at once, as it does under overload: it can be reached."""
@@ -108,7 +121,7 @@
         """
         self._unserved += 1
         if self._outage or self._refuses_at_once or self._unserved >= _UNSERVED_CALLS_IN_OUTAGE:
-            self._extend(at)
+            self._extend(at, LeaseBasis.UNSERVED_CALLS)
 
     def agent_silent(self, at: datetime) -> None:
         """Record that the opening call of a watch was not answered, where lists are pushed.
@@ -117,15 +130,19 @@
         change. The next call is answered as soon as the agent is back.
         """
         if self._proven is not None:
-            self._until = max(self._until, at + self.terms.contact)
+            self._end_at_least(at + self.terms.contact, LeaseBasis.AGENT_SILENT)
 
-    def _extend(self, at: datetime) -> None:
+    def _extend(self, at: datetime, basis: LeaseBasis) -> None:
         """Restart the lease at a proof that no process could be notified.
 
         Has no effect after a watch went silent: the time of changes missed before the outage keeps running.
         """
         if not self._may_have_missed:
-            self._until = max(self._until, at + self.terms.contact)
+            self._end_at_least(at + self.terms.contact, basis)
+
+    def _end_at_least(self, until: datetime, basis: LeaseBasis) -> None:
+        if until > self._until:
+            self._until, self.basis = until, basis
 
     # Events that end a lease early.
 
--- a/hazellead/core/scheduler.py
+++ b/hazellead/core/scheduler.py
@@ -100,7 +100,11 @@
 
     def refuse(self, job: Job, reply: ClientReply) -> None:
         """Refuse a job that a client front end does not want to submit."""
-        self._with_counting(job, reply).refused(self.limits.busy_retry)
+        self._refuse(job, self._with_counting(job, reply), self.limits.busy_retry, "no jobs are accepted")
+
+    def _refuse(self, job: Job, reply: ClientReply, retry_after: timedelta, reason: str) -> None:
+        log.info("job_refused", job=job.identity, reason=reason)
+        reply.refused(retry_after)
 
     def _with_counting(self, job: Job, reply: ClientReply) -> ClientReply:
         return CountedReply(reply, self._tally, job.class_name) if self._tally else reply
@@ -142,8 +146,10 @@
         if job.identity in self._identities:
             # Guards against running a job twice: the job with this id may be running at this moment.
             reply.failed("this id is being worked on")
-        elif self.free_capacity <= 0 or self._would_outlast_shutdown(job):
-            reply.refused(self.limits.busy_retry)
+        elif self.free_capacity <= 0:
+            self._refuse(job, reply, self.limits.busy_retry, "too many open jobs")
+        elif self._would_outlast_shutdown(job):
+            self._refuse(job, reply, self.limits.busy_retry, "the scheduler ends")
         else:
             self._accept(job, reply, max(job.remaining - self.limits.answer_margin, timedelta(0)))
         return self._last_number
@@ -245,7 +251,7 @@
         if request.reply:
             reply, request.reply = request.reply, None
             if all(a.outcome in api.NEVER_RAN for a in request.attempts):
-                reply.refused(self.limits.busy_retry)
+                self._refuse(request.job, reply, self.limits.busy_retry, reason)
             else:
                 reply.failed(reason)
             self._enqueue(api.Abandoned(request.number))
@@ -482,8 +488,10 @@
             case api.Push():
                 self._push(action)
             case api.Refuse():
-                if reply := self._take_reply(action.request):
-                    reply.refused(from_us(action.retry_after_us))
+                if request := self._requests.get(action.request):
+                    job, reply = request.job, self._take_reply(action.request)
+                    if reply:
+                        self._refuse(job, reply, from_us(action.retry_after_us), self._reason_not_pushed())
             case api.Fail():
                 if reply := self._take_reply(action.request):
                     reply.failed("given up")
@@ -505,6 +513,12 @@
             case api.Log():
                 log.info("decision", text=action.text)
 
+    def _reason_not_pushed(self) -> str:
+        """Return why the dispatcher refuses jobs at present, for the log."""
+        if self._list_expired:
+            return "no lease on the list of servers"
+        return "over the share or the capacity" if self.has_available_workers else "no server is available"
+
     def _push(self, action: api.Push) -> None:
         request = self._requests.get(action.request)
         now = self._clock.now()
@@ -525,6 +539,9 @@
                 not attempt.may_send()):
             attempt.end(api.Outcome.MOOT)
             return
+        if number:
+            log.info("attempt_repeated", job=request.job.identity, worker=self._directory.name(action.worker),
+                     attempt=number, copy=has_open)
         if until < request.until:
             self._loop.add_timeout(until - now, self._stop, attempt, api.Outcome.TIMED_OUT)
         self._transport.send(attempt)
--- a/hazellead/platform/discovery.py
+++ b/hazellead/platform/discovery.py
@@ -11,7 +11,7 @@
 from tornado.iostream import StreamClosedError
 
 from hazellead.core.clock import Clock
-from hazellead.core.lease import LeaseTerms, MembershipLease
+from hazellead.core.lease import LeaseBasis, LeaseTerms, MembershipLease
 from hazellead.decide import interface as api
 from hazellead.limits import Limits
 from hazellead.net import streams
@@ -68,7 +68,8 @@
         self.answered = False  # the last call was answered: a call made at once continues the watch
         self.call: _Call | None = None  # the last call
         self.task: asyncio.Task[None] | None = None
-        self.failures, self.reason = 0, ""  # failed calls since the last list; the last reason logged
+        self.failures = 0  # failed calls since the last list
+        self.logged: tuple[str, bool] | None = None  # the last failure's reason, and whether it came at once
         self.failing_since: datetime | None = None  # time of the first failure since the last list
         self.older_since: datetime | None = None  # since when it has sent only lists older than the current
         self.unanswered = 0  # opening calls without an answer, in a row
@@ -113,6 +114,7 @@
         self._servers: dict[int, ListedServer] = {}
         self._clock = clock or Clock()
         self._lease = MembershipLease(LeaseTerms.of(limits), self._clock.now())
+        self._logged_basis = LeaseBasis.NONE
         self._first_list = asyncio.Event()
         self._source = _Source(discovery)
         self._previous: _Source | None = None  # until the new discovery has sent a list
@@ -273,6 +275,7 @@
         self._note_recovery(source)
         present = source is self._source
         self._lease.renew(source.call.sent_at, by_present_discovery=present)
+        self._log_lease()
         if present:
             self._first_list.set()
             if self._previous:
@@ -293,6 +296,7 @@
         source.unanswered += not call.continues_watch
         if self._pushed and not call.continues_watch and source is self._source:
             self._lease.agent_silent(self._clock.now())
+            self._log_lease()
 
     async def _await_late_answer(
         self, source: _Source, call: _Call, connection: DiscoveryConnection,
@@ -317,7 +321,9 @@
                 report = self._lease.live_watch_refused if call.on_live_watch else self._lease.unserved
                 report(call.sent_at)
             else:
+                log.warning("watch_broken", reason=_reason(failure), version=source.index)
                 self._lease.watch_fell_silent(call.sent_at)
+            self._log_lease()
         except ListError as error:
             log.warning("discovery_failed", reason=str(error), version=source.index)
         except Exception:  # a bug must not go unnoticed in a background task
@@ -335,6 +341,7 @@
         """Log and account for a failed call of the present discovery, and wait before the next."""
         self._note_failure(source, error)
         self._report_failure_to_lease(source, error)
+        self._log_lease()
         continued_watch = source.call is not None and source.call.continues_watch
         if self._pushed and continued_watch:
             return  # the agent has answered until now: the lease is lost soon after the watch
@@ -377,19 +384,30 @@
                 await asyncio.sleep(remaining.total_seconds())
 
     def _note_failure(self, source: _Source, error: Exception) -> None:
-        """Count a failed call; logs it unless the previous one failed for the same reason."""
-        reason = _reason(error)
-        source.failing_since, source.failures = source.failing_since or self._clock.now(), source.failures + 1
-        if reason != source.reason:
-            log.warning("discovery_failed", reason=reason, version=source.index)
-        source.reason = reason
+        """Count a failed call; logs it unless the previous one failed alike: same reason, as fast."""
+        now, reason = self._clock.now(), _reason(error)
+        source.failing_since, source.failures = source.failing_since or now, source.failures + 1
+        waited = now - source.call.sent_at if source.call else timedelta(0)
+        failure = reason, waited <= self._limits.connect + self._limits.process_stall
+        if failure != source.logged:
+            kind = "watch" if source.call and source.call.continues_watch else "opening"
+            log.warning("discovery_failed", reason=reason, version=source.index, call=kind,
+                        waited=f"{waited.total_seconds():.3f}", failures=source.failures)
+        source.logged = failure
+
+    def _log_lease(self) -> None:
+        """Log on what the lease rests, if that has changed."""
+        if (basis := self._lease.basis) is not self._logged_basis:
+            left = (self._lease.until - self._clock.now()).total_seconds()
+            log.info("server_list_lease", basis=basis.value, version=self._source.index, left=f"{left:.3f}")
+            self._logged_basis = basis
 
     def _note_recovery(self, source: _Source) -> None:
         """Reset the counts of failures; logs the end of an outage."""
         if source.failing_since:
             span = (self._clock.now() - source.failing_since).total_seconds()
             log.info("discovery_back", failures=source.failures, seconds=f"{span:.3f}")
-        source.failures, source.reason, source.failing_since = 0, "", None
+        source.failures, source.logged, source.failing_since = 0, None, None
 
     async def _request_list(self, source: _Source) -> Any:
         """Make the next call and return its answer's JSON; raises _UnansweredError if none arrives in time.
@@ -446,6 +464,9 @@
         """Parse and apply an answer; raises ListError if it is malformed or older than the current list."""
         server_list = read_list(answer, self._numbers, self._names)
         self._check_version(source, server_list)
+        if server_list.version != source.index:
+            log.info("server_list_received", version=server_list.version, previous=source.index,
+                     whole=server_list.whole, entries=len(server_list.servers))
         source.older_since, source.version = None, server_list.version
         self._apply(server_list)
 
@@ -483,7 +504,7 @@
         self._listener(api.WorkerList(kind, tuple(server.entry for server in server_list.servers)))
 
 
-def _reason(error: Exception) -> str:
+def _reason(error: BaseException) -> str:
     """Return a short text for the log that says why a call failed."""
     cause = getattr(error, "real_error", None) or error
     return str(cause) or type(cause).__name__
