Failing tests: sends to drained servers while calls to discovery fail (known red)

Real schedulers on loopback and fleets in virtual time, with a discovery that can be reached and fails some calls: 503 at once or after a wait, reset after a wait, answers cut short.

--- a/hazellead/lab/soak/discovery.py
+++ b/hazellead/lab/soak/discovery.py
@@ -5,17 +5,22 @@
 
 import asyncio
 import json
+from dataclasses import dataclass
 from enum import Enum
 from urllib.parse import parse_qs, urlsplit
 
+import numpy as np
+
 from hazellead.lab.soak.records import Change, ListAnswer, Outage, Records, Silence
 from hazellead.lab.soak.servers import HOST, Listener, ServerConnection
 from hazellead.lab.soak.workers import Worker
-from hazellead.net.http import Message
+from hazellead.net.http import Message, response
 
 WATCH_CONTINUES_S = 0.2  # a call this soon after an answer on its connection is not rate limited
 MAX_QUEUE_WAIT_S = 2.0  # for the rate limit
 POLL_INTERVAL_S = 0.01
+MIN_FAULT_WAIT_S = 0.5  # before a call that fails late
+CUT_BYTES = 9  # missing at the end of a list that is cut short
 
 
 class Overload(Enum):
@@ -32,6 +37,33 @@
     NOT_LISTENING = "not listening"
 
 
+class CallFault(Enum):
+    """How a call fails although discovery can be reached."""
+
+    REFUSED_AT_ONCE = "503 at once"
+    REFUSED_LATE = "503 after a wait"
+    RESET_LATE = "reset after a wait"
+    CUT_SHORT = "answer cut short"
+
+
+@dataclass(frozen=True)
+class FailingCalls:
+    """Makes a share of the calls fail, as a faulty proxy in front of discovery does."""
+
+    share: float
+    rng: np.random.Generator
+
+    def draw(self) -> CallFault | None:
+        """Return how the next call fails; None if it does not."""
+        if self.rng.random() >= self.share:
+            return None
+        return list(CallFault)[int(self.rng.integers(len(CallFault)))]
+
+    def draw_wait(self) -> float:
+        """Return after how many seconds a late failure comes."""
+        return float(self.rng.uniform(MIN_FAULT_WAIT_S, MAX_QUEUE_WAIT_S))
+
+
 class Discovery:
     """The list of workers, the faults of the service and an endpoint for each scheduler."""
 
@@ -44,6 +76,7 @@
         self.calls_per_s, self.overload = 100.0, Overload.REFUSED_AT_ONCE
         self.outage: OutageKind | None = None
         self.malformed = False  # lists are cut off, so that they are not JSON
+        self.failing_calls: FailingCalls | None = None
         self._next_call_at = 0.0
         self.endpoints: dict[str, DiscoveryEndpoint] = {}
 
@@ -147,6 +180,10 @@
             return
         query = parse_qs(urlsplit(message.start_line[1]).query)
         index = int(query["index"][0]) if "index" in query else None
+        failing_calls = self._discovery.failing_calls
+        if failing_calls and (fault := failing_calls.draw()):
+            await self._fail(connection, fault, failing_calls.draw_wait(), index)
+            return
         wait = int(query.get("wait", ["0"])[0]) / 1000
         continues = _now() - self._answered_at.get(connection, -1.0) <= WATCH_CONTINUES_S
         if not continues and not await self._discovery.admit_call():
@@ -156,12 +193,30 @@
             return
         if connection.open and self._discovery.malformed:
             self._answered_at[connection] = _now()
-            connection.answer(200, self._discovery.encode_list(index)[:-9])
+            connection.answer(200, self._discovery.encode_list(index)[:-CUT_BYTES])
         elif connection.open:
             self._discovery._records.told.append(ListAnswer(_now(), self._slot, self._discovery.version))
             self._answered_at[connection] = _now()
             connection.answer(200, self._discovery.encode_list(index))
 
+    async def _fail(
+        self, connection: ServerConnection, fault: CallFault, wait: float, index: int | None,
+    ) -> None:
+        """End a call by a fault; ``wait`` is for those that come late."""
+        match fault:
+            case CallFault.REFUSED_AT_ONCE:
+                connection.answer(503)
+            case CallFault.REFUSED_LATE:
+                await asyncio.sleep(wait)
+                connection.answer(503)
+            case CallFault.RESET_LATE:
+                await asyncio.sleep(wait)
+                connection.transport.abort()
+            case CallFault.CUT_SHORT:
+                whole = response(200, self._discovery.encode_list(index))
+                connection.transport.write(whole[:-CUT_BYTES])
+                connection.transport.close()
+
     async def _wait_for_change(self, connection: ServerConnection, index: int | None, until: float) -> bool:
         """Wait until the list is newer than ``index``, at most until ``until``.
 
--- a/hazellead/lab/soak/plan.py
+++ b/hazellead/lab/soak/plan.py
@@ -126,6 +126,7 @@
     trouble: tuple[WorkerStep, ...]
     leaving: tuple[LeaveStep, ...]
     leaves: float = 0.05  # portion of the requests whose client disconnects before the answer
+    failing_calls: float = 0.0  # share of the calls to discovery that fail from ``discovery_at`` on
     holdup: float = 0.0  # longest of the repeated pauses of the schedulers in seconds; 0: no pauses
     length: float = FAULT_PHASE_S
 
@@ -136,6 +137,7 @@
         names += [f"worker {step.state}" for step in self.leaving]
         if self.discovery is not DiscoveryTrouble.NONE:
             names.append(f"discovery {self.discovery.value}")
+        names += ["calls to discovery fail"] * bool(self.failing_calls)
         names += ["crowd of idle clients"] * bool(self.idle_crowd)
         return names + ["schedulers paused"] * bool(self.holdup)
 
@@ -150,7 +152,7 @@
 
     The order of the draws is fixed: a changed order gives each seed another run.
     """
-    size_rng, signal_rng, worker_rng, discovery_rng, pause_rng = random_generators(seed, 5)
+    size_rng, signal_rng, worker_rng, discovery_rng, pause_rng, calls_rng = random_generators(seed, 6)
     slots, workers = int(size_rng.integers(1, 4)), int(size_rng.integers(4, 9))
     crowded = bool(size_rng.random() < 0.25)
     discovery_fault = list(DiscoveryTrouble)[int(discovery_rng.integers(len(DiscoveryTrouble)))]
@@ -161,6 +163,7 @@
         float(discovery_rng.uniform(2.0, 8.0)),
         _draw_signal_steps(signal_rng, length), _draw_worker_steps(worker_rng, workers, length),
         _draw_leave_steps(discovery_rng, workers, discovery_at, length),
+        failing_calls=float(calls_rng.choice((0.5, 0.8, 1.0))) if calls_rng.random() < 0.4 else 0.0,
         holdup=MAX_PAUSE_S if pause_rng.random() < 0.3 else 0.0, length=length)
 
 
--- a/hazellead/lab/soak/runner.py
+++ b/hazellead/lab/soak/runner.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from hazellead.lab.soak.clients import Client, IdleCrowd, LoadBalancer, Traffic
-from hazellead.lab.soak.discovery import Discovery, OutageKind, Overload
+from hazellead.lab.soak.discovery import Discovery, FailingCalls, OutageKind, Overload
 from hazellead.lab.soak.plan import (
     MAX_DEADLINE_S,
     DiscoveryTrouble,
@@ -134,6 +134,8 @@
         steps += [self._run_worker_step(step) for step in plan.trouble]
         steps += [self._run_leave_step(step) for step in plan.leaving]
         steps += [self._run_discovery_fault(), asyncio.sleep(plan.length)]
+        if plan.failing_calls:
+            steps += [self._run_failing_calls()]
         if plan.holdup:
             steps += [self._pause_repeatedly(slot) for slot in self._slots]
         if plan.idle_crowd:
@@ -193,6 +195,15 @@
         await asyncio.sleep(plan.discovery_s)
         discovery.calls_per_s, discovery.malformed = NORMAL_CALLS_PER_S, False
 
+    async def _run_failing_calls(self) -> None:
+        """Make a share of the calls to discovery fail for a while."""
+        plan, discovery = self._plan, self._discovery
+        await self._sleep_until(plan.discovery_at)
+        rng = random_generators(plan.seed + (2 << 32), 1)[0]
+        discovery.failing_calls = FailingCalls(plan.failing_calls, rng)
+        await asyncio.sleep(plan.discovery_s)
+        discovery.failing_calls = None
+
     async def _run_idle_crowd(self, slot: Slot) -> None:
         await self._sleep_until(self._plan.crowd_at)
         self._traffic.crowded.add(slot.name)
--- a/tests/discovery_model.py
+++ b/tests/discovery_model.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import random
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
@@ -96,6 +97,8 @@
         self.agent_latest = registry.latest  # where lists are pushed: the newest change when it went down
         self.outage: Outage | None = None
         self.past_outages: list[tuple[float, float]] = []  # begin and end
+        self.failing_share = 0.0  # of the calls: they fail although it can be reached
+        self._failure_rng = random.Random(1)
         self._went_down = 0.0
         self._turn_free = 0.0
         self._state_changed = asyncio.Event()
@@ -151,6 +154,16 @@
         """Number of the newest change that it can report."""
         return self.agent_latest if self.pushed and self.outage else self.registry.latest
 
+    async def fail_some(self) -> None:
+        """Fail a share of the calls, at once or late; raises RefusedError or StreamClosedError."""
+        if self._failure_rng.random() >= self.failing_share:
+            return
+        if self._failure_rng.random() < 0.5:
+            await asyncio.sleep(self._failure_rng.uniform(0.5, self.longest_wait))
+        if self._failure_rng.random() < 0.5:
+            raise RefusedError("status 503")
+        raise StreamClosedError(ConnectionResetError(104, "Connection reset by peer"))
+
     async def wait_for_turn(self, lines: int) -> None:
         """Wait until the call's turn; raises RefusedError or StreamClosedError if it gets none."""
         began = self.loop.time()
@@ -245,6 +258,7 @@
         await asyncio.sleep(NETWORK_S)
         if self.silent:
             await asyncio.Event().wait()
+        await self.service.fail_some()
         service, now = self.service, self.loop.time()
         continues = self.last_answer is not None and now - self.last_answer <= CONTINUES_WITHIN_S
         self.watch_open = self.watch_open and continues
--- a/tests/test_fleet_membership.py
+++ b/tests/test_fleet_membership.py
@@ -178,6 +178,24 @@
     await asyncio.sleep(12)
 
 
+async def calls_fail_although_discovery_is_reachable(fleet: Fleet) -> None:
+    await fleet.settle()
+    await asyncio.sleep(3)
+    fleet.service.failing_share = 0.9
+    restarted = fleet.processes[::3]
+    for process in restarted:
+        process.kill()
+    fleet.drain(0)
+    for process in restarted:
+        process.start()
+    for wave in range(1, 4):
+        await asyncio.sleep(1)
+        fleet.drain(wave)
+    await asyncio.sleep(12)
+    fleet.service.failing_share = 0.0
+    await asyncio.sleep(10)
+
+
 async def restarts_during_a_long_outage(fleet: Fleet) -> None:
     await fleet.settle()
     fleet.service.go_down(Outage.NOBODY_LISTENS)
@@ -282,6 +300,9 @@
         most_are_killed_at_once, {"overload": Overload.REFUSED_AFTER_WAIT}),
     "old lists": (killed_long_before_with_old_lists, {}),
     "restarts in an outage": (restarts_during_a_long_outage, {}),
+    "calls fail": (calls_fail_although_discovery_is_reachable, {}),
+    "calls fail, crowd refused late": (
+        calls_fail_although_discovery_is_reachable, {"overload": Overload.REFUSED_AFTER_WAIT}),
 }
 RARER_FAULTS: dict[str, tuple[Scenario, dict[str, Any]]] = {
     "quiet time": (trouble_after_ten_quiet_minutes, {}),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,7 @@
 """
 
 from dataclasses import replace
+from itertools import product, repeat
 from pathlib import Path
 
 import pytest
@@ -73,6 +74,21 @@
     assert len(outcome.records.requests) > 100
 
 
+def test_nothing_new_is_sent_to_a_drained_server_while_calls_to_discovery_fail(tmp_path: Path) -> None:
+    """Guards against sends by an old list: failing calls were taken for proof that discovery was down."""
+    plan = replace(
+        small_plan(), failing_calls=1.0, discovery_at=1.0, discovery_s=10.0, length=13.0, trouble=(),
+        leaving=(LeaveStep(1.6, 2, "draining"), LeaveStep(1.7, 4, "draining")))
+    replaced = SignalStep(1.0, Signals.REPLACE, Whom.ONE, 0.0)
+    plans = [replace(plan, seed=seed, discovery=trouble, signals=signals) for seed, (trouble, signals) in
+             enumerate(product((DiscoveryTrouble.NONE, DiscoveryTrouble.SILENT), ((), (replaced,))))]
+    with isolated_executor(RUNS_AT_ONCE) as executor:
+        outcomes = list(executor.map(
+            run_plan_sync, plans, repeat(scheduler_command("-m hazellead")), repeat(tmp_path)))
+    assert not any(o.violations for o in outcomes), report(outcomes) + "".join(
+        f"\n{violation}" for outcome in outcomes for violation in outcome.violations)
+
+
 def test_a_seed_always_draws_the_same_plan() -> None:
     assert draw_plan(5) == draw_plan(5) != draw_plan(6)
     signals = {step.signals for seed in range(200) for step in draw_plan(seed).signals}
