Lease: failing calls no longer pass for an outage of discovery

Cause: the lease on the list of servers was extended by calls that failed. One 503 at once (refused_at_once), after it any call that failed late (unserved), or three such calls in a row, counted as proof that discovery was down, also for a process that had never received a list. A discovery that is slow, overloaded or behind a faulty proxy fails calls alike.

Change: extended by a refused connection, unless a call failed or a watch was silent since the last list; by the end of an open watch, once; and after that only while each call is refused late, all after the same wait, counted from the call before. Any other failure ends it. An unanswered call of the agent (pushed lists) extends nothing any more. A process without a list of its own gets no lease by calls that fail.

Tests: those that wanted an extension by failing calls are replaced by ones that want none, in any order of failures; the property test now has the new events.

--- a/hazellead/core/lease.py
+++ b/hazellead/core/lease.py
@@ -5,8 +5,13 @@
 nothing new is sent to any server; jobs wait in their buffers or are refused with a retry-after.
 
 The lease is renewed by proof of contact and counted from when the proving call was made, not from when its
-answer was read: an answer may have been written long before it arrives. Time in which discovery provably
-cannot be reached does not count, since no process can be notified of anything then.
+answer was read: an answer may have been written long before it arrives. Time in which no process listens at
+discovery's address does not count, since nothing can be notified then. A watch that discovery has ended
+proves that the list was current until its last call.
+
+A call that fails in any other way proves nothing: an overloaded discovery, a faulty proxy and an outage end
+calls alike, at once or late, with an error status, a reset or silence. Only after discovery has ended the
+watch, and as long as each call since was refused after a wait in the queue, an outage is assumed.
 """
 
 from dataclasses import dataclass
@@ -15,10 +20,7 @@
 
 from hazellead.limits import Limits
 
-# Where a queued call fails after two seconds, three in a row and the pauses between them take longer than the
-# lease: an overload that discovery can serve within the lease is over by then. Where discovery gives up
-# sooner, three calls take less time than that, and an overload with waiting calls could pass for an outage.
-_UNSERVED_CALLS_IN_OUTAGE = 3
+_SAME_WAIT = timedelta(milliseconds=25)  # by which two equally long waits may differ
 
 
 @dataclass(slots=True, frozen=True)
@@ -49,9 +51,8 @@
     NONE = "none since the start"
     LIST = "a list was received"
     CONNECTION_REFUSED = "connections are refused"
-    LIVE_WATCH_REFUSED = "a call of a live watch was refused"
-    UNSERVED_CALLS = "calls are not served"
-    AGENT_SILENT = "the agent does not answer"
+    WATCH_ENDED = "discovery ended the watch"
+    OUTAGE = "discovery has ended the watch and serves no call"
 
 
 class MembershipLease:
@@ -64,10 +65,10 @@
         self._until = now
         self._proven: datetime | None = None  # when the list was last known to be current
         self._move_until: datetime | None = None  # set until the current discovery has sent its list
-        self._may_have_missed = False  # a watch has gone silent since the last proof
-        self._outage = False  # proven to have begun, and no list has been received since
-        self._refuses_at_once = False  # this discovery has refused a call without a wait
-        self._unserved = 0  # calls in a row that waited the longest time in the queue and were not served
+        self._may_have_missed = False  # discovery may have been reachable while no watch was open
+        self._outage = False  # discovery has ended the watch, and only refused calls late since
+        # In an outage: when the last call that was refused late was made, and how long it waited.
+        self._refused_late: tuple[datetime, timedelta] | None = None
 
     @property
     def until(self) -> datetime:
@@ -82,63 +83,81 @@
 
     # Proof that the list is current.
 
-    def renew(self, proven: datetime, *, by_present_discovery: bool = True) -> None:
+    def renew(
+        self, proven: datetime, *, by_present_discovery: bool = True, watch_open: bool = True,
+    ) -> None:
         """Record that the list was current at ``proven``, when the call that has been answered was made.
 
-        A former discovery that is still watched after a move cannot replace the list of the current one.
+        A former discovery that is still watched after a move cannot replace the list of the current one. An
+        answered call that leaves no watch open (``watch_open``) does not end a time in which changes may be
+        missed.
         """
         self._proven = proven if self._proven is None else max(self._proven, proven)
         self._end_at_least(proven + self.terms.contact, LeaseBasis.LIST)
         if by_present_discovery:
             self._move_until = None
-            self._may_have_missed = self._outage = False
-            self._unserved = 0
+            self._may_have_missed = self._may_have_missed and not watch_open
+            self._end_outage()
 
-    # Proof that discovery cannot be reached. ``at`` is when the call that shows it was made.
+    # Calls that fail.
 
     def connection_refused(self, at: datetime) -> None:
-        """Record that no process listens at discovery's address."""
-        self._outage = True
-        self._extend(at, LeaseBasis.CONNECTION_REFUSED)
+        """Record that no process listened at discovery's address when a call was made at ``at``.
+
+        Extends the lease, unless changes may have been missed before: the time of those keeps running.
+        """
+        if self._may_have_missed:
+            return
+        self._end_at_least(at + self.terms.contact, LeaseBasis.CONNECTION_REFUSED)
         if self._move_until is not None:
             self._move_until = max(self._move_until, at + self.terms.move)
 
-    def live_watch_refused(self, at: datetime) -> None:
-        """Record a refused call on a live watch: such calls do not queue, so it is no sign of an overload."""
-        self._outage = True
-        self._extend(at, LeaseBasis.LIVE_WATCH_REFUSED)
+    def watch_ended(self, made: datetime, *, live: bool) -> None:
+        """Record that discovery refused a call made at ``made`` on an open watch: it is going down.
 
-    def refused_at_once(self) -> None:
-        """Record that discovery refused a call at once, as it does under overload: it can be reached."""
-        self._refuses_at_once = True
-
-    def unserved(self, at: datetime) -> None:
-        """Record a call that failed after a wait: in an outage, or in an overload with waiting calls.
-
-        The protocol does not distinguish these. It counts as an outage if one is proven to have begun, if
-        discovery has refused calls of an overload at once, or after so many calls in a row that an overload
-        which discovery can serve within the lease is ruled out.
+        A ``live`` watch, on which a call was answered before, would have told each change until then. From
+        now on an outage is assumed, for as long as all calls are refused late. Has no effect once a newer
+        call has been answered.
         """
-        self._unserved += 1
-        if self._outage or self._refuses_at_once or self._unserved >= _UNSERVED_CALLS_IN_OUTAGE:
-            self._extend(at, LeaseBasis.UNSERVED_CALLS)
+        if self._proven is not None and self._proven > made:
+            return
+        if live:
+            self._end_at_least(made + self.terms.contact, LeaseBasis.WATCH_ENDED)
+        self._outage, self._refused_late = True, None
 
-    def agent_silent(self, at: datetime) -> None:
-        """Record that the opening call of a watch was not answered, where lists are pushed.
+    def call_refused_late(self, made: datetime, waited: timedelta) -> None:
+        """Record that a call made at ``made``, which was to open a watch, was refused after a wait.
 
-        There discovery's agent answers such a call at once except in an outage, in which it learns of no
-        change. The next call is answered as soon as the agent is back.
+        In an outage the lease counts from the call before it: where discovery is back and overloaded, one
+        call of each process may wait in vain. Discovery refuses calls after its longest wait, so that all
+        wait equally long. Without an outage it is a failed call like any other.
         """
-        if self._proven is not None:
-            self._end_at_least(at + self.terms.contact, LeaseBasis.AGENT_SILENT)
+        self._may_have_missed = True
+        if not self._outage:
+            return
+        before, self._refused_late = self._refused_late, (made, waited)
+        if before is None:
+            return
+        if abs(before[1] - waited) > _SAME_WAIT:
+            self._end_outage()
+        else:
+            self._end_at_least(before[0] + self.terms.contact, LeaseBasis.OUTAGE)
+
+    @property
+    def outage(self) -> bool:
+        """Whether an outage is assumed."""
+        return self._outage
 
-    def _extend(self, at: datetime, basis: LeaseBasis) -> None:
-        """Restart the lease at a proof that no process could be notified.
+    def call_failed(self) -> None:
+        """Record that a call other than that of an open watch failed: discovery may have been reachable.
 
-        Has no effect after a watch went silent: the time of changes missed before the outage keeps running.
+        Unless a list has been received since, refused connections do not extend the lease then.
         """
-        if not self._may_have_missed:
-            self._end_at_least(at + self.terms.contact, basis)
+        self._may_have_missed = True
+        self._end_outage()
+
+    def _end_outage(self) -> None:
+        self._outage, self._refused_late = False, None
 
     def _end_at_least(self, until: datetime, basis: LeaseBasis) -> None:
         if until > self._until:
@@ -147,13 +166,15 @@
     # Events that end a lease early.
 
     def watch_fell_silent(self, made: datetime) -> None:
-        """Record that a call made at ``made``, on a watch that was live before, was never answered.
+        """Record that a call made at ``made``, on a watch that was live before, was not answered in time.
 
-        Unless a list has been received since, changes may have been missed: no outage extends the lease then.
+        Unless a list has been received since, changes may have been missed, from before refused connections
+        that extended the lease, too.
         """
         if self._proven is None or self._proven > made:
             return
         self._may_have_missed = True
+        self._end_outage()
         self._until = min(self._until, self._proven + self.terms.contact)
 
     def watch_lost(self, now: datetime) -> None:
@@ -161,11 +182,7 @@
         self._until = min(self._until, now + self.terms.loss)
 
     def moved(self, now: datetime) -> None:
-        """Record a move to another discovery; the time limit of an unfinished earlier move stays in force.
-
-        Outages and overloads of the former discovery say nothing about the new one.
-        """
-        self._outage = self._refuses_at_once = False
-        self._unserved = 0
+        """Record a move to another discovery; the time limit of an unfinished earlier move stays in force."""
+        self._end_outage()
         until = now + self.terms.move
         self._move_until = until if self._move_until is None else min(self._move_until, until)
--- a/hazellead/platform/discovery.py
+++ b/hazellead/platform/discovery.py
@@ -288,25 +288,24 @@
         call, connection = source.call, source.connection
         assert call and connection
         if call.continues_watch and source is self._source:
+            self._lease.watch_fell_silent(call.sent_at)
             source.connection = None
             self._run_in_background(self._await_late_answer(source, call, connection, error.pending_answer))
             return
+        if source is self._source:
+            self._lease.call_failed()
         error.pending_answer.cancel()
         source.close_connection()
         source.unanswered += not call.continues_watch
-        if self._pushed and not call.continues_watch and source is self._source:
-            self._lease.agent_silent(self._clock.now())
-            self._log_lease()
 
     async def _await_late_answer(
         self, source: _Source, call: _Call, connection: DiscoveryConnection,
         pending_answer: "asyncio.Future[Any]",
     ) -> None:
-        """Wait for the late end of a watch that seems to have fallen silent, while it is opened anew.
+        """Wait for the late answer on a watch that seems to have fallen silent, while it is opened anew.
 
         When discovery goes down, it ends its watches a moment after it stops answering them, and under load
-        the second call of a watch may still be queued. If nothing arrives at all, the watch was broken and
-        may have missed changes.
+        the second call of a watch may still be queued.
         """
         span = self._limits.late_answer if call.on_live_watch else self._limits.queue_wait_max
         try:
@@ -316,13 +315,11 @@
                 return
             if failure is None:
                 self._accept_list(source, pending_answer.result())
-                self._lease.renew(call.sent_at)
-            elif isinstance(failure, RefusedError):
-                report = self._lease.live_watch_refused if call.on_live_watch else self._lease.unserved
-                report(call.sent_at)
+                self._lease.renew(call.sent_at, watch_open=False)
+            elif isinstance(failure, RefusedError) and not self._pushed:
+                self._lease.watch_ended(call.sent_at, live=call.on_live_watch)
             else:
                 log.warning("watch_broken", reason=_reason(failure), version=source.index)
-                self._lease.watch_fell_silent(call.sent_at)
             self._log_lease()
         except ListError as error:
             log.warning("discovery_failed", reason=str(error), version=source.index)
@@ -345,31 +342,32 @@
         continued_watch = source.call is not None and source.call.continues_watch
         if self._pushed and continued_watch:
             return  # the agent has answered until now: the lease is lost soon after the watch
+        if self._lease.outage and source.call and self._waited(source.call):
+            return  # in an outage one call is always pending, so that its end is noticed at once
         pause = min(self._limits.retry * source.failures, self._limits.retry_max)
         await asyncio.sleep(pause.total_seconds() * (0.5 + self._rng.random() / 2))
 
     def _report_failure_to_lease(self, source: _Source, error: Exception) -> None:
-        """Tell the lease what a failed call proves about whether discovery can be reached."""
-        now, call, limits = self._clock.now(), source.call, self._limits
+        """Tell the lease what a failed call proves, and what may have been missed by it."""
+        call = source.call
         if call is None:
             return
         if self._pushed:
             if call.continues_watch:
-                self._lease.watch_lost(now)
-        elif isinstance(error, ListError):
-            pass  # a malformed list proves nothing about that
+                self._lease.watch_lost(self._clock.now())
         elif isinstance(getattr(error, "real_error", None), ConnectionRefusedError):
             self._lease.connection_refused(call.sent_at)
             self._first_list.set()
-        elif isinstance(error, TimeoutError):
-            pass  # the connection was never established: proves nothing
-        elif now - call.sent_at <= limits.connect + limits.process_stall and not call.on_live_watch:
-            if isinstance(error, RefusedError):
-                self._lease.refused_at_once()
-        elif not call.continues_watch:
-            self._lease.unserved(call.sent_at)
+        elif isinstance(error, RefusedError) and not call.continues_watch and self._waited(call):
+            self._lease.call_refused_late(call.sent_at, self._clock.now() - call.sent_at)
+        elif isinstance(error, ListError) or not call.continues_watch:
+            self._lease.call_failed()
         elif isinstance(error, RefusedError):
-            self._lease.live_watch_refused(call.sent_at)
+            self._lease.watch_ended(call.sent_at, live=call.on_live_watch)
+
+    def _waited(self, call: _Call) -> bool:
+        """Return whether a call that has just failed took longer than the network does."""
+        return self._clock.now() - call.sent_at > self._limits.connect + self._limits.process_stall
 
     async def _pace_calls(self, source: _Source) -> None:
         """Wait before the next call of a watch whose last answer had no newer version.
@@ -388,7 +386,7 @@
         now, reason = self._clock.now(), _reason(error)
         source.failing_since, source.failures = source.failing_since or now, source.failures + 1
         waited = now - source.call.sent_at if source.call else timedelta(0)
-        failure = reason, waited <= self._limits.connect + self._limits.process_stall
+        failure = reason, source.call is None or not self._waited(source.call)
         if failure != source.logged:
             kind = "watch" if source.call and source.call.continues_watch else "opening"
             log.warning("discovery_failed", reason=reason, version=source.index, call=kind,
@@ -451,7 +449,7 @@
             answer = await within(self._limits.fetch, connection.ask(""))
             if source is self._source:
                 self._accept_list(source, answer)
-                self._lease.renew(sent_at)
+                self._lease.renew(sent_at, watch_open=False)
         except _FAILURES as error:
             if source is self._source:
                 log.warning("discovery_failed", reason=_reason(error), version=source.index)
@@ -464,11 +462,12 @@
         """Parse and apply an answer; raises ListError if it is malformed or older than the current list."""
         server_list = read_list(answer, self._numbers, self._names)
         self._check_version(source, server_list)
-        if server_list.version != source.index:
-            log.info("server_list_received", version=server_list.version, previous=source.index,
-                     whole=server_list.whole, entries=len(server_list.servers))
+        previous = source.index
         source.older_since, source.version = None, server_list.version
         self._apply(server_list)
+        if server_list.version != previous:
+            log.info("server_list_received", version=server_list.version, previous=previous,
+                     whole=server_list.whole, entries=len(server_list.servers))
 
     def _check_version(self, source: _Source, server_list: ServerList) -> None:
         """Raise ListError for a list older than the current one, or for changes to an unknown list.
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -1,12 +1,13 @@
 """The lease on the list of servers: how it is renewed, extended and ended."""
 
+from collections.abc import Callable
 from datetime import datetime, timedelta
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hazellead.core.lease import LeaseTerms, MembershipLease
+from hazellead.core.lease import LeaseBasis, LeaseTerms, MembershipLease
 from hazellead.lab.time import START
 from hazellead.limits import Limits
 
@@ -47,32 +48,81 @@
     assert lease.until == at(5) + TERMS.contact
 
 
-def test_refused_connections_extend_a_lease_and_unserved_calls_of_an_overload_do_not() -> None:
+def test_refused_connections_extend_a_lease() -> None:
     lease = renewed_lease()
     lease.connection_refused(at(4))
-    assert lease.until == at(4) + TERMS.contact
-    overloaded = renewed_lease()
-    overloaded.unserved(at(4))
-    assert overloaded.until == at(0) + TERMS.contact
+    assert lease.until == at(4) + TERMS.contact and lease.basis is LeaseBasis.CONNECTION_REFUSED
+    new = MembershipLease(TERMS, at(0))
+    new.connection_refused(at(0.5))
+    assert new.until == at(0.5) + TERMS.contact
+
+
+@pytest.mark.parametrize("new", [True, False])
+def test_calls_that_fail_in_another_way_extend_no_lease(new: bool) -> None:
+    """Guards against sends by an old list: failing calls were taken for proof that discovery was down."""
+    lease = MembershipLease(TERMS, at(0)) if new else renewed_lease()
+    until = lease.until
+    for second in (1, 2, 3, 4):
+        lease.call_failed()
+        assert lease.until == until
+        lease.connection_refused(at(second))  # what was missed in between keeps counting
+        assert lease.until == until
 
 
-def test_unserved_calls_extend_a_lease_after_a_live_watch_was_refused() -> None:
+def test_a_watch_that_discovery_ends_was_current_until_its_last_call() -> None:
     lease = renewed_lease()
-    lease.live_watch_refused(at(1))
-    lease.unserved(at(5))
-    assert lease.until == at(5) + TERMS.contact
-    lease.renew(at(8))  # the outage is over
-    lease.unserved(at(12))
-    assert lease.until == at(8) + TERMS.contact
+    lease.watch_ended(at(1), live=True)
+    assert lease.until == at(1) + TERMS.contact and lease.basis is LeaseBasis.WATCH_ENDED
+    second_call = renewed_lease()  # it may have waited for its turn
+    second_call.watch_ended(at(1), live=False)
+    assert second_call.until == at(0) + TERMS.contact
 
 
-def test_a_new_process_may_use_its_old_list_after_three_unserved_calls_in_a_row() -> None:
-    lease = MembershipLease(TERMS, at(0))
-    for second in (0, 3):
-        lease.unserved(at(second))
-        assert lease.expired(at(second))
-    lease.unserved(at(6))
-    assert not lease.expired(at(8))
+LONGEST_WAIT = timedelta(seconds=2)
+OTHER_FAILURES: dict[str, Callable[[MembershipLease], None]] = {
+    "refused at once, reset or silent": lambda lease: lease.call_failed(),
+    "refused after another wait": lambda lease: lease.call_refused_late(at(4), LONGEST_WAIT / 2),
+    "a list was received": lambda lease: lease.renew(at(4)),
+    "a silent watch": lambda lease: lease.watch_fell_silent(at(4)),
+    "moved": lambda lease: lease.moved(at(4)),
+}
+
+
+def test_after_an_ended_watch_the_lease_follows_calls_refused_late_from_the_one_before() -> None:
+    lease = renewed_lease()
+    lease.watch_ended(at(1), live=True)
+    lease.call_refused_late(at(2), LONGEST_WAIT)
+    assert lease.until == at(1) + TERMS.contact
+    for second in (4, 6, 8):
+        lease.call_refused_late(at(second), LONGEST_WAIT)
+        assert lease.until == at(second - 2) + TERMS.contact and lease.basis is LeaseBasis.OUTAGE
+
+
+@pytest.mark.parametrize("other", OTHER_FAILURES.values(), ids=OTHER_FAILURES)
+def test_anything_but_calls_refused_late_ends_the_assumed_outage(
+    other: Callable[[MembershipLease], None],
+) -> None:
+    """Guards against sends by an old list: calls that failed in turn each extended the lease."""
+    lease = renewed_lease()
+    lease.watch_ended(at(1), live=True)
+    lease.call_refused_late(at(2), LONGEST_WAIT)
+    other(lease)
+    until = lease.until
+    for second in (6, 8, 10):
+        lease.call_refused_late(at(second), LONGEST_WAIT)
+    assert lease.until == until
+
+
+def test_calls_refused_late_extend_no_lease_without_an_ended_watch() -> None:
+    """Guards against a new process that sends by the list from before its start, with no call answered."""
+    new, renewed = MembershipLease(TERMS, at(0)), renewed_lease()
+    reopened = renewed_lease()
+    reopened.renew(at(2))
+    reopened.watch_ended(at(1), live=True)  # the end of the watch before, noticed late
+    for lease, until in ((new, new.until), (renewed, renewed.until), (reopened, reopened.until)):
+        for second in (3, 5, 7, 9):
+            lease.call_refused_late(at(second), LONGEST_WAIT)
+        assert lease.until == until
 
 
 def test_an_outage_does_not_extend_a_lease_whose_watch_was_already_silent() -> None:
@@ -80,28 +130,27 @@
     lease.connection_refused(at(3))
     lease.watch_fell_silent(at(1))  # noticed late
     lease.connection_refused(at(4))
-    lease.live_watch_refused(at(4))
-    for second in (4, 5, 6):
-        lease.unserved(at(second))
     assert lease.until == at(0) + TERMS.contact
     lease.renew(at(7))
     lease.connection_refused(at(9))
     assert lease.until == at(9) + TERMS.contact
 
 
-def test_a_silent_watch_is_ignored_once_a_newer_list_has_been_received() -> None:
+def test_an_answer_without_an_open_watch_renews_a_lease_for_which_changes_are_still_missed() -> None:
+    """Guards against an extension after a late answer of a broken watch that was not opened anew since."""
     lease = renewed_lease()
-    lease.renew(at(2))  # the watch was reopened before the silence was certain
     lease.watch_fell_silent(at(1))
+    lease.renew(at(1), watch_open=False)
+    assert lease.until == at(1) + TERMS.contact
     lease.connection_refused(at(4))
-    assert lease.until == at(4) + TERMS.contact
+    assert lease.until == at(1) + TERMS.contact
 
 
-def test_unserved_calls_extend_a_lease_where_overloads_are_refused_at_once() -> None:
+def test_a_silent_watch_is_ignored_once_a_newer_list_has_been_received() -> None:
     lease = renewed_lease()
-    lease.refused_at_once()
-    assert lease.until == at(0) + TERMS.contact
-    lease.unserved(at(4))
+    lease.renew(at(2))  # the watch was reopened before the silence was certain
+    lease.watch_fell_silent(at(1))
+    lease.connection_refused(at(4))
     assert lease.until == at(4) + TERMS.contact
 
 
@@ -126,33 +175,34 @@
     assert lease.until == at(2.01) + TERMS.contact
 
 
-def test_a_silent_agent_extends_a_lease_only_after_a_list_since_the_start() -> None:
-    fresh = MembershipLease(TERMS, at(0))
-    fresh.agent_silent(at(3))
-    assert fresh.expired(at(3))
-    lease = renewed_lease()
-    lease.agent_silent(at(4))
-    assert lease.until == at(4) + TERMS.contact
-
-
-EVENTS = ("renew", "connection_refused", "live_watch_refused", "unserved", "refused_at_once",
+EVENTS = ("renew", "connection_refused", "watch_ended", "call_refused_late", "call_failed",
           "watch_fell_silent", "moved")
 
 
 @given(st.lists(st.tuples(st.sampled_from(EVENTS), st.integers(1, 4000)), max_size=40))
 def test_a_lease_never_outlasts_its_newest_proof(steps: list[tuple[str, int]]) -> None:
-    """After any events, the lease ends at most one term after the newest proof of any call."""
+    """After any events, the lease ends at most one term after the newest proof.
+
+    A refused connection is a proof only if no other call has failed, and no watch was silent, since a list. A
+    call that is refused late proves no more than that the one before it was made in an outage.
+    """
     now, lease = START, renewed_lease()
-    proven = START
+    proven, unbroken, refused_late = START, True, START
     for event, milliseconds in steps:
         now += timedelta(milliseconds=milliseconds)
-        if event == "refused_at_once":
-            lease.refused_at_once()
-        elif event == "watch_fell_silent":
-            lease.watch_fell_silent(now)
+        if event == "call_failed":
+            lease.call_failed()
+        elif event == "watch_ended":
+            lease.watch_ended(now, live=True)
+        elif event == "call_refused_late":
+            lease.call_refused_late(now, LONGEST_WAIT)
+            proven, refused_late = max(proven, refused_late), now
         else:
             getattr(lease, event)(now)
-            proven = proven if event == "moved" else now
+        unbroken = event == "renew" or (
+            unbroken and event not in ("call_failed", "call_refused_late", "watch_fell_silent"))
+        if event in ("renew", "watch_ended") or (event == "connection_refused" and unbroken):
+            proven = now
         assert lease.until <= proven + TERMS.contact
         if event == "moved":
             assert lease.until <= now + TERMS.move
