Hand-over: both processes go by the newest list of either, and the lease passes on

Cause: the list was passed once, with the offer, and never again; nothing carried the lease.

Change: ready and commit carry a whole list, list messages follow while both serve, commit tells how long the lease holds, counted from when the successor asked. Processes of an older version say nothing of adopts_lists and get no list message.

--- a/hazellead/core/lease.py
+++ b/hazellead/core/lease.py
@@ -53,6 +53,7 @@
     CONNECTION_REFUSED = "connections are refused"
     WATCH_ENDED = "discovery ended the watch"
     OUTAGE = "discovery has ended the watch and serves no call"
+    PREDECESSOR = "the lease of the process before this one"
 
 
 class MembershipLease:
@@ -112,6 +113,10 @@
         if self._move_until is not None:
             self._move_until = max(self._move_until, at + self.terms.move)
 
+    def inherit(self, until: datetime) -> None:
+        """Continue the lease of the process that this one replaces, with a list that is at least as new."""
+        self._end_at_least(until, LeaseBasis.PREDECESSOR)
+
     def watch_ended(self, made: datetime, *, live: bool) -> None:
         """Record that discovery refused a call made at ``made`` on an open watch: it is going down.
 
--- a/hazellead/lifecycle/handover.py
+++ b/hazellead/lifecycle/handover.py
@@ -56,6 +56,7 @@
         """Start without a channel; ``handler`` acts on the other process's messages."""
         self.handler = handler
         self.channel: Channel | None = None
+        self._other_adopts_lists = False  # the other process accepts ``list`` messages
         self._call_back_numbers = itertools.count(1)
         self._forwarded: dict[int, asyncio.Future[int]] = {}
 
@@ -73,6 +74,14 @@
         if self.channel:
             self.channel.send(kind, sockets, **body)
 
+    def share_server_list(self) -> None:
+        """Send this process's list of servers to the other process while both serve.
+
+        What discovery has told to one process of a scheduler counts as notified to both.
+        """
+        if self.both_serve and self._other_adopts_lists:
+            self._send("list", **self.handler.server_list())
+
     def forward_call_back(
         self, identity: str, sender: str, state: str, payload: Any,
     ) -> "asyncio.Future[int] | None":
@@ -109,6 +118,8 @@
                     "answered", number=number, status=status.result()))
         elif message.kind == "answered":
             self._settle_forwarded(message.number("number"), message.number("status"))
+        elif message.kind == "list":
+            self.handler.adopt_server_list(message.body)
         elif message.kind == "left":
             self.handler.set_other_open_work(OpenWork.from_message(message))
         elif message.kind == "connections":
@@ -217,6 +228,7 @@
         elif step is _Step.OFFERED and message.kind == "ready":
             self._step = _Step.COMMITTED
             self._start_timer(TIMINGS.commit)
+            self.handler.adopt_server_list(message.body)
             self._send("commit", **self._predecessor_handler.stop_accepting())
         elif step is _Step.COMMITTED and message.kind == "started":
             self._step = _Step.SUCCEEDED
@@ -242,8 +254,9 @@
             return
         sockets, body = offer
         self._step, self._successor_takes_jobs = _Step.OFFERED, message.body.get("takes_jobs") is True
+        self._other_adopts_lists = message.body.get("adopts_lists") is True
         self._start_timer(TIMINGS.build)
-        self._send("offer", sockets, version=PROTOCOL_VERSION, **body)
+        self._send("offer", sockets, version=PROTOCOL_VERSION, adopts_lists=True, **body)
 
     def _pass_on_repeatedly(self) -> None:
         if self._step is _Step.SUCCEEDED and self.channel:
@@ -357,13 +370,15 @@
             except OSError:
                 return False  # no such file, nobody listens at it, or no Unix sockets on this system
             self.channel = Channel(sock, self._on_message, self._on_channel_end)
-            self._send("hello", version=PROTOCOL_VERSION, listen=listen, takes_jobs=True)
+            self._send(
+                "hello", version=PROTOCOL_VERSION, listen=listen, takes_jobs=True, adopts_lists=True)
             try:
                 answer = await self._next_message(TIMINGS.offer, "an offer")
             except ChannelClosedError:  # it is exiting, or another successor is connected
                 answer = Message("no", {"why": "it closed the channel", "again": True})
             if answer.kind == "offer" and answer.number("version") == PROTOCOL_VERSION and self.sockets:
                 self.offer_body = answer.body
+                self._other_adopts_lists = answer.body.get("adopts_lists") is True
                 return True
             self.channel.close("no offer")
             if answer.kind != "no" or answer.body.get("again") is not True or loop.time() > until:
@@ -372,7 +387,7 @@
 
     async def commit(self) -> Message:
         """Have the other process stop accepting; return its ``commit`` message. Raises HandoverError."""
-        self._send("ready")
+        self._send("ready", **self.handler.server_list())
         answer = await self._next_message(TIMINGS.commit, "its commitment")
         if answer.kind != "commit":
             raise HandoverError(f"the serving process answered {answer.kind} to ready")
--- a/hazellead/lifecycle/handover_roles.py
+++ b/hazellead/lifecycle/handover_roles.py
@@ -59,6 +59,12 @@
     def set_other_open_work(self, open_work: OpenWork) -> None:
         """Count the other process's connections and attempts here too, and remember its new ids."""
 
+    def server_list(self) -> dict[str, Any]:
+        """Return this process's list of servers, as the body of a message."""
+
+    def adopt_server_list(self, body: dict[str, Any]) -> None:
+        """Use the other process's list of servers from a message's body, if there is one and it is newer."""
+
     def reserve_jobs(self, number: int, jobs: Sequence[tuple[PassedJob, socket.socket]]) -> list[str]:
         """Keep a batch of jobs that the other process offers; return the ids of those that can continue here.
 
@@ -135,3 +141,10 @@
 
     def set_other_open_work(self, open_work: OpenWork) -> None:
         """Ignore the report."""
+
+    def server_list(self) -> dict[str, Any]:
+        """Return no list."""
+        return {}
+
+    def adopt_server_list(self, body: dict[str, Any]) -> None:
+        """Ignore the list."""
--- a/hazellead/platform/discovery.py
+++ b/hazellead/platform/discovery.py
@@ -116,6 +116,7 @@
         self._lease = MembershipLease(LeaseTerms.of(limits), self._clock.now())
         self._logged_basis = LeaseBasis.NONE
         self._first_list = asyncio.Event()
+        self.on_new_version: Callable[[], None] = lambda: None  # called after a list with another version
         self._source = _Source(discovery)
         self._previous: _Source | None = None  # until the new discovery has sent a list
         self._background: set[asyncio.Task[None]] = set()  # calls made in parallel to the watch
@@ -177,6 +178,34 @@
                     "state": phases[e.phase], "capacity_hint": e.weight, "boot_ms": e.started_us // 1000})
         return {"rev": self._source.index or 0, "all": True, "targets": targets}
 
+    def lease_left(self) -> timedelta:
+        """Return for how long the lease on the list still holds; zero if it has expired."""
+        return max(timedelta(0), self._lease.until - self._clock.now())
+
+    def inherit_lease(self, until: datetime) -> None:
+        """Continue the lease of the process that this one replaces, whose list has been adopted.
+
+        Not where lists are pushed: there a change counts as notified at once, so the list needs a watch.
+        """
+        if not self._pushed:
+            self._lease.inherit(until)
+            self._log_lease()
+
+    def adopt(self, answer: Any) -> None:
+        """Use another process's whole list from the same discovery, if it is newer.
+
+        Raises ListError if it is malformed.
+        """
+        server_list, source = read_list(answer, self._numbers, self._names), self._source
+        if not server_list.whole or server_list.version <= (source.index or 0):
+            return
+        log.info("server_list_adopted", version=server_list.version, previous=source.index)
+        if source.version is None:
+            source.known_version = server_list.version
+        else:
+            source.version = server_list.version
+        self._apply(server_list)
+
     def update_names(self, names: Names) -> None:
         """Use other names of zones and kinds; passes the renumbered current list to the listener.
 
@@ -468,6 +497,7 @@
         if server_list.version != previous:
             log.info("server_list_received", version=server_list.version, previous=previous,
                      whole=server_list.whole, entries=len(server_list.servers))
+            self.on_new_version()
 
     def _check_version(self, source: _Source, server_list: ServerList) -> None:
         """Raise ListError for a list older than the current one, or for changes to an unknown list.
--- a/hazellead/platform/handover.py
+++ b/hazellead/platform/handover.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterator, Sequence
 from contextlib import suppress
 from dataclasses import dataclass, field, replace
-from datetime import datetime
+from datetime import datetime, timedelta
 from functools import partial
 from typing import Any
 
@@ -17,6 +17,7 @@
 from hazellead.lifecycle import knowledge
 from hazellead.lifecycle.handover import TIMINGS, HandoverError, HandoverSource, HandoverTarget
 from hazellead.lifecycle.handover_roles import OpenWork
+from hazellead.lifecycle.messages import Message as HandoverMessage
 from hazellead.lifecycle.messages import MessageError
 from hazellead.lifecycle.passed_jobs import PassedJob, PendingBatch
 from hazellead.lifecycle.phases import LifeCycle, Phase
@@ -25,11 +26,13 @@
 from hazellead.platform.clients import HttpRequestHandler, Reply
 from hazellead.platform.config import Config, host_port
 from hazellead.platform.discovery import Watch
+from hazellead.platform.server_list import ListError
 from hazellead.platform.workers import HttpWorkers, callback_error
 
 log = structlog.get_logger()
 
 _MAX_DEFERRED_CALL_BACKS = 16  # for one job while it is passed; workers repeat those over it
+_MS = timedelta(milliseconds=1)
 _MAX_BATCH_BYTES = 1 << 20  # of bodies, above which no more jobs are added; far below a message's limit
 
 
@@ -94,6 +97,7 @@
         self._listen, self._predecessor = listen, predecessor
         self._successor = HandoverSource(config.handover, host_port(config.listen), self)
         self._listening_sockets: list[socket.socket] = []
+        watch.on_new_version = self._share_server_list
         if predecessor:
             predecessor.handler = self
             self._take_over_knowledge(predecessor.offer_body)
@@ -119,9 +123,11 @@
         """Start to serve in place of the predecessor, if there is one; raises ConfigError if that fails."""
         if self._predecessor is None:
             return
+        asked_at = self._clock.now()
         try:
             commit = await self._predecessor.commit()
             self._scheduler.remember([*commit.texts("ended"), *commit.texts("open")])
+            self._inherit_lease(commit, asked_at)
         except (HandoverError, MessageError) as error:
             # If the predecessor has died, the address is free; else listening fails and this process exits.
             log.warning("handover_refused", reason=str(error))
@@ -133,6 +139,15 @@
         self._predecessor.confirm_started()
         log.info("took_over")
 
+    def _inherit_lease(self, commit: HandoverMessage, asked_at: datetime) -> None:
+        """Continue with the predecessor's list and lease.
+
+        The lease is counted from when the predecessor was asked, which is before it answered.
+        """
+        self.adopt_server_list(commit.body)
+        if commit.body.get("discovery") == host_port(self._watch.address) and "lease_ms" in commit.body:
+            self._watch.inherit_lease(asked_at + timedelta(milliseconds=commit.number("lease_ms")))
+
     def _class_and_tenant_names(self) -> tuple[list[str], list[str]]:
         """Return the names of classes and tenants by number; "" for a class that is no longer configured."""
         generation = self._scheduler.generation
@@ -153,7 +168,7 @@
         return [s.dup() for s in self._listening_sockets], {
             "known": knowledge.encode(
                 self._scheduler.export_estimates(), self._watch.name, *self._class_and_tenant_names()),
-            "told": self._watch.to_json(self._scheduler.workers), "discovery": host_port(self._watch.address)}
+            **self.server_list()}
 
     def stop_accepting(self) -> dict[str, Any]:
         """Accept no more connections; return the ids of open and of ended jobs."""
@@ -161,7 +176,8 @@
         self._paused_sockets = self._server.pause()
         self._workers.pool.close_all_idle()
         self._reported_ids = self._scheduler.open_identities
-        return {"open": list(self._reported_ids), "ended": self._scheduler.ended_identities}
+        return {"open": list(self._reported_ids), "ended": self._scheduler.ended_identities,
+                "lease_ms": self._watch.lease_left() // _MS, **self.server_list()}
 
     def take_back(self) -> None:
         """Accept connections again: the successor is gone."""
@@ -327,6 +343,26 @@
 
     # In either process.
 
+    def server_list(self) -> dict[str, Any]:
+        """Return this process's list of servers and the discovery that it comes from."""
+        told = self._watch.to_json(self._scheduler.workers)
+        return {"told": told, "discovery": host_port(self._watch.address)}
+
+    def adopt_server_list(self, body: dict[str, Any]) -> None:
+        """Use the other process's list of servers if it is newer and comes from the same discovery."""
+        if body.get("discovery") != host_port(self._watch.address):
+            return
+        try:
+            self._watch.adopt(body.get("told"))
+        except ListError as error:
+            log.warning("handover_incomplete", reason=str(error))
+
+    def _share_server_list(self) -> None:
+        """Send a list that discovery has told to this process to the other one, if both serve."""
+        for link in (self._predecessor, self._successor):
+            if link:
+                link.share_server_list()
+
     def call_back(self, identity: str, sender: str, state: str, payload: Any) -> "asyncio.Future[int] | None":
         """Handle a call-back here, or forward it to the other process if that may own the job.
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -15,6 +15,7 @@
 from hazellead.limits import Limits
 from hazellead.platform.config import ConfigError, Names
 from hazellead.platform.discovery import Watch
+from hazellead.platform.server_list import ListError
 
 NAMES = Names(("a",), (), ("a", "b"), ("m1", "m2"))
 
@@ -293,3 +294,37 @@
         server.close()
 
     run_watch(check)
+
+
+def test_the_list_of_another_process_counts_if_it_is_whole_and_newer() -> None:
+    async def case() -> None:
+        lists = list[api.WorkerList]()
+        watch = Watch(("127.0.0.1", free_port()), NAMES, Limits(), listing(9, target("s-1"), whole=True),
+                      lists.append)
+        for stale in (listing(8, target("s-2"), whole=True), listing(9, target("s-2"), whole=True),
+                      listing(10, target("s-2")), listing(0, whole=True)):
+            watch.adopt(stale)
+        assert [entry.kind for entry in lists] == [api.ListKind.CACHED]
+        for malformed in (None, [], {}, {"rev": 10, "all": True, "targets": [{"uid": "s-1"}]}):
+            with pytest.raises(ListError):
+                watch.adopt(malformed)
+        watch.adopt(listing(10, target("s-1", "draining"), whole=True))
+        assert lists[-1].entries[0].phase is api.Phase.DRAINING and len(lists) == 2
+        assert watch.to_json(lists[-1].entries)["rev"] == 10
+        watch.close()
+
+    run(case())
+
+
+def test_an_inherited_lease_holds_only_where_lists_are_asked_for() -> None:
+    """Where lists are pushed, changes count as notified at once: a list without a watch must not be used."""
+    async def case() -> None:
+        for pushed in (False, True):
+            watch = Watch(("127.0.0.1", free_port()), NAMES, Limits(), {}, lambda _: None, pushed=pushed)
+            clock = watch._clock
+            watch.inherit_lease(clock.now() + timedelta(seconds=2))
+            assert watch.list_expired() is pushed
+            assert watch.lease_left() <= timedelta(seconds=0 if pushed else 2)
+            watch.close()
+
+    run(case())
