Hand-over: refused connections extend no lease on a list that was not watched

A successor starts by its predecessor's list. Where nobody listens at discovery's address, its lease began with the first refused connection, also if the predecessor's watch had been silent: what that had missed before the outage kept counting, and the successor sent by a list without it. The offer now says whether the list was watched; without that word it was not.

--- a/hazellead/core/lease.py
+++ b/hazellead/core/lease.py
@@ -117,6 +117,11 @@
         """Continue the lease of the process that this one replaces, with a list that is at least as new."""
         self._end_at_least(until, LeaseBasis.PREDECESSOR)
 
+    @property
+    def may_have_missed(self) -> bool:
+        """Whether changes may have been missed, so that refused connections do not extend the lease."""
+        return self._may_have_missed
+
     def watch_ended(self, made: datetime, *, live: bool) -> None:
         """Record that discovery refused a call made at ``made`` on an open watch: it is going down.
 
--- a/hazellead/platform/discovery.py
+++ b/hazellead/platform/discovery.py
@@ -191,6 +191,15 @@
             self._lease.inherit(until)
             self._log_lease()
 
+    @property
+    def misses_no_changes(self) -> bool:
+        """Whether a watch has been open, or discovery out of reach, ever since the list was received."""
+        return not self._lease.may_have_missed
+
+    def note_missed_changes(self) -> None:
+        """Record that changes may have been missed: the list known from before the start was not watched."""
+        self._lease.call_failed()
+
     def adopt(self, answer: Any) -> None:
         """Use another process's whole list from the same discovery, if it is newer.
 
--- a/hazellead/platform/handover.py
+++ b/hazellead/platform/handover.py
@@ -100,6 +100,8 @@
         watch.on_new_version = self._share_server_list
         if predecessor:
             predecessor.handler = self
+            if predecessor.offer_body.get("watched") is not True:
+                watch.note_missed_changes()
             self._take_over_knowledge(predecessor.offer_body)
         else:
             self._listening_sockets = listen()
@@ -168,7 +170,7 @@
         return [s.dup() for s in self._listening_sockets], {
             "known": knowledge.encode(
                 self._scheduler.export_estimates(), self._watch.name, *self._class_and_tenant_names()),
-            **self.server_list()}
+            "watched": self._watch.misses_no_changes, **self.server_list()}
 
     def stop_accepting(self) -> dict[str, Any]:
         """Accept no more connections; return the ids of open and of ended jobs."""
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -296,6 +296,22 @@
     run_watch(check)
 
 
+@pytest.mark.parametrize("watched", [True, False])
+def test_a_list_that_nobody_watched_gets_no_lease_where_nobody_listens(watched: bool) -> None:
+    """Guards against sends by a list whose changes the process before this one may have missed."""
+    async def case() -> None:
+        watch = Watch(("127.0.0.1", free_port()), NAMES, Limits(), listing(9, target("s-1"), whole=True),
+                      lambda _: None)
+        if not watched:
+            watch.note_missed_changes()
+        watch.subscribe()
+        await watch.first_list(timedelta(seconds=5))  # ends when the connection is refused
+        assert watch.misses_no_changes is watched and watch.list_expired() is not watched
+        watch.close()
+
+    run(case())
+
+
 def test_the_list_of_another_process_counts_if_it_is_whole_and_newer() -> None:
     async def case() -> None:
         lists = list[api.WorkerList]()
