--- a/hazellead/lab/soak/referee.py
+++ b/hazellead/lab/soak/referee.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from hazellead.lab.soak.plan import KEY_TTL_S, Effect
-from hazellead.lab.soak.records import Attempt, Change, Records, Request
+from hazellead.lab.soak.records import Attempt, Change, ListAnswer, ProcessLife, Records, Request
 
 MAX_ANSWER_DELAY_S = 0.5  # an answer this late after its deadline earns nothing, but breaks no rule
 NOTIFIED_AFTER_S = 6.0  # a change counts as notified this long after discovery had it and was reachable
@@ -204,20 +204,31 @@
         """Return the time from which a scheduler counts as notified of a change, judged at ``now``.
 
         That is the earliest of three times, but not before the newest process started: discovery has had the
-        change and been reachable for ``NOTIFIED_AFTER_S``; it wrote an answer with the change; a watch of
-        the scheduler has been silent for ``NOTIFIED_AFTER_S``.
+        change and been reachable for ``NOTIFIED_AFTER_S``; it wrote an answer with the change to any process
+        of the scheduler; a watch of the scheduler has been silent for ``NOTIFIED_AFTER_S``.
         """
-        alive = [life for life in self._records.lives
-                 if life.slot == slot and life.started <= now and (life.ended is None or life.ended > now)]
-        since = max((life.started for life in alive), default=now)
+        since = max((life.started for life in self._lives_at(slot, now)), default=now)
         times = [self._reachable_from(change.at, now) + NOTIFIED_AFTER_S]
-        if len(alive) == 1:  # of two processes at one address it is not known which got the answer
-            times += [answer.at for answer in self._records.told
-                      if answer.slot == slot and answer.version >= change.version and answer.at >= since][:1]
+        times += [answer.at for answer in self._records.told
+                  if answer.slot == slot and answer.version >= change.version
+                  and self._is_passed_on(answer)][:1]
         times += [max(change.at, silent_at + NOTIFIED_AFTER_S)
                   for silent_at in self._silent_watches(slot, change, since)]
         return max(since, min(times))
 
+    def _lives_at(self, slot: str, at: float) -> list[ProcessLife]:
+        """Return a scheduler's processes that were alive at a time."""
+        return [life for life in self._records.lives
+                if life.slot == slot and life.started <= at and (life.ended is None or life.ended > at)]
+
+    def _is_passed_on(self, answer: ListAnswer) -> bool:
+        """Return whether all processes of the scheduler know of an answer, whichever of them received it.
+
+        One that is killed, or ends before it was ready, may take its answer with it.
+        """
+        return all(life.killed is None and life.ready is not None
+                   for life in self._lives_at(answer.slot, answer.at))
+
     def _reachable_from(self, at: float, now: float) -> float:
         """Return the time since which discovery has been reachable without a break until ``now``.
 
--- a/hazellead/platform/discovery.py
+++ b/hazellead/platform/discovery.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Coroutine, Iterable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from datetime import datetime, timedelta
 from typing import Any
 
@@ -18,6 +18,7 @@
 from hazellead.net.streams import within
 from hazellead.platform.config import ConfigError, Names
 from hazellead.platform.discovery_calls import Connect, DiscoveryConnection, RefusedError, connect
+from hazellead.platform.discovery_source import Call, Source
 from hazellead.platform.server_list import (
     PHASES,
     ListedServer,
@@ -47,50 +48,6 @@
 _FAILURES = (RefusedError, StreamClosedError, TimeoutError, ListError)
 
 
-@dataclass(slots=True)
-class _Call:
-    """One call of a watch. Only calls that open a watch are queued by discovery until their turn."""
-
-    sent_at: datetime
-    follows_answer: bool  # the previous call was answered
-    continues_watch: bool  # the previous call was answered, on the same connection
-    on_live_watch: bool = False  # the previous call continued the watch, too: discovery has kept it open
-
-
-class _Source:
-    """One discovery service: its address, its last version of the list, and the state of the watch on it."""
-
-    def __init__(self, address: tuple[str, int], *, known_version: int | None = None) -> None:
-        self.address = address
-        self.version: int | None = None  # of its last list; versions of different services are unrelated
-        self.known_version = known_version  # of the list from before the start, perhaps another service's
-        self.connection: DiscoveryConnection | None = None
-        self.answered = False  # the last call was answered: a call made at once continues the watch
-        self.call: _Call | None = None  # the last call
-        self.task: asyncio.Task[None] | None = None
-        self.failures = 0  # failed calls since the last list
-        self.logged: tuple[str, bool] | None = None  # the last failure's reason, and whether it came at once
-        self.failing_since: datetime | None = None  # time of the first failure since the last list
-        self.older_since: datetime | None = None  # since when it has sent only lists older than the current
-        self.unanswered = 0  # opening calls without an answer, in a row
-
-    @property
-    def index(self) -> int | None:
-        """The version since which changes are requested; None to request the whole list."""
-        return self.known_version if self.version is None else self.version
-
-    def close_connection(self) -> None:
-        """Close the connection, if there is one."""
-        if self.connection:
-            self.connection.close()
-            self.connection = None
-
-    def stop(self) -> None:
-        """Cancel the watch."""
-        if self.task:
-            self.task.cancel()
-
-
 class Watch:
     """The platform's worker directory: a long-poll watch that resumes from the last known version."""
 
@@ -117,8 +74,8 @@
         self._logged_basis = LeaseBasis.NONE
         self._first_list = asyncio.Event()
         self.on_new_version: Callable[[], None] = lambda: None  # called after a list with another version
-        self._source = _Source(discovery)
-        self._previous: _Source | None = None  # until the new discovery has sent a list
+        self._source = Source(discovery)
+        self._previous: Source | None = None  # until the new discovery has sent a list
         self._background: set[asyncio.Task[None]] = set()  # calls made in parallel to the watch
         if known:
             try:
@@ -255,7 +212,7 @@
             self._source.stop()
         else:
             self._previous = self._source
-        self._source = _Source(discovery)
+        self._source = Source(discovery)
         self._lease.moved(self._clock.now())
         self.subscribe()
 
@@ -271,7 +228,7 @@
         for task in self._background:
             task.cancel()
 
-    async def _watch(self, source: _Source) -> None:
+    async def _watch(self, source: Source) -> None:
         """Keep a watch open; retries failed calls within a second.
 
         After a failed, refused or abandoned call a change, such as a drain, counts as notified 6 s after
@@ -306,7 +263,7 @@
             source.task = None
             source.close_connection()
 
-    def _handle_answer(self, source: _Source) -> None:
+    def _handle_answer(self, source: Source) -> None:
         """Handle a usable answer: renew the lease from when the call was sent, and end a previous watch."""
         assert source.call
         source.answered, source.unanswered = True, 0
@@ -320,7 +277,7 @@
                 self._previous.stop()
                 self._previous = None
 
-    def _handle_unanswered(self, source: _Source, error: _UnansweredError) -> None:
+    def _handle_unanswered(self, source: Source, error: _UnansweredError) -> None:
         """Handle a call that was not answered in time."""
         log.warning("watch_silent", version=source.index, waited=str(error.waited.total_seconds()))
         call, connection = source.call, source.connection
@@ -337,7 +294,7 @@
         source.unanswered += not call.continues_watch
 
     async def _await_late_answer(
-        self, source: _Source, call: _Call, connection: DiscoveryConnection,
+        self, source: Source, call: Call, connection: DiscoveryConnection,
         pending_answer: "asyncio.Future[Any]",
     ) -> None:
         """Wait for the late answer on a watch that seems to have fallen silent, while it is opened anew.
@@ -372,7 +329,7 @@
         self._background.add(task)
         task.add_done_callback(self._background.discard)
 
-    async def _pause_after(self, source: _Source, error: Exception) -> None:
+    async def _pause_after(self, source: Source, error: Exception) -> None:
         """Log and account for a failed call of the present discovery, and wait before the next."""
         self._note_failure(source, error)
         self._report_failure_to_lease(source, error)
@@ -385,7 +342,7 @@
         pause = min(self._limits.retry * source.failures, self._limits.retry_max)
         await asyncio.sleep(pause.total_seconds() * (0.5 + self._rng.random() / 2))
 
-    def _report_failure_to_lease(self, source: _Source, error: Exception) -> None:
+    def _report_failure_to_lease(self, source: Source, error: Exception) -> None:
         """Tell the lease what a failed call proves, and what may have been missed by it."""
         call = source.call
         if call is None:
@@ -403,11 +360,11 @@
         elif isinstance(error, RefusedError):
             self._lease.watch_ended(call.sent_at, live=call.on_live_watch)
 
-    def _waited(self, call: _Call) -> bool:
+    def _waited(self, call: Call) -> bool:
         """Return whether a call that has just failed took longer than the network does."""
         return self._clock.now() - call.sent_at > self._limits.connect + self._limits.process_stall
 
-    async def _pace_calls(self, source: _Source) -> None:
+    async def _pace_calls(self, source: Source) -> None:
         """Wait before the next call of a watch whose last answer had no newer version.
 
         Discovery may answer at once although nothing is newer; without a pause, calls and answers would
@@ -419,7 +376,7 @@
             if remaining > timedelta(0):
                 await asyncio.sleep(remaining.total_seconds())
 
-    def _note_failure(self, source: _Source, error: Exception) -> None:
+    def _note_failure(self, source: Source, error: Exception) -> None:
         """Count a failed call; logs it unless the previous one failed alike: same reason, as fast."""
         now, reason = self._clock.now(), _reason(error)
         source.failing_since, source.failures = source.failing_since or now, source.failures + 1
@@ -438,14 +395,14 @@
             log.info("server_list_lease", basis=basis.value, version=self._source.index, left=f"{left:.3f}")
             self._logged_basis = basis
 
-    def _note_recovery(self, source: _Source) -> None:
+    def _note_recovery(self, source: Source) -> None:
         """Reset the counts of failures; logs the end of an outage."""
         if source.failing_since:
             span = (self._clock.now() - source.failing_since).total_seconds()
             log.info("discovery_back", failures=source.failures, seconds=f"{span:.3f}")
         source.failures, source.logged, source.failing_since = 0, None, None
 
-    async def _request_list(self, source: _Source) -> Any:
+    async def _request_list(self, source: Source) -> Any:
         """Make the next call and return its answer's JSON; raises _UnansweredError if none arrives in time.
 
         The call that opens a watch is queued at discovery but does not wait for a change: its answer shows
@@ -457,7 +414,7 @@
         still_open = source.connection is not None and source.connection.quiet
         continues = follows and still_open
         on_live_watch = continues and source.call is not None and source.call.continues_watch
-        source.call = _Call(self._clock.now(), follows, continues, on_live_watch)
+        source.call = Call(self._clock.now(), follows, continues, on_live_watch)
         if not still_open:
             source.close_connection()
             if follows and self._pushed:
@@ -496,7 +453,7 @@
             if connection:
                 connection.close()
 
-    def _accept_list(self, source: _Source, answer: Any) -> None:
+    def _accept_list(self, source: Source, answer: Any) -> None:
         """Parse and apply an answer; raises ListError if it is malformed or older than the current list."""
         server_list = read_list(answer, self._numbers, self._names)
         self._check_version(source, server_list)
@@ -508,7 +465,7 @@
                      whole=server_list.whole, entries=len(server_list.servers))
             self.on_new_version()
 
-    def _check_version(self, source: _Source, server_list: ServerList) -> None:
+    def _check_version(self, source: Source, server_list: ServerList) -> None:
         """Raise ListError for a list older than the current one, or for changes to an unknown list.
 
         An older list, from a parallel call or from a discovery that lags, must not undo a drain. A discovery
