Hand-over: a killed predecessor's queue of connections is served, not closed

Cause: the successor noticed the end only after its wait (4 s at most), then closed the listening sockets that it had been sent and listened anew; what had queued in them since the kill was reset. PlatformHandover.replace_predecessor, HandoverTarget.abandon.

Change: the end of the channel ends the wait, and where nobody listens for successors any more the sent sockets are used.

--- a/hazellead/__main__.py
+++ b/hazellead/__main__.py
@@ -334,6 +334,8 @@
         from hazellead.platform import handover
 
         configuration, predecessor = await handover.ask_predecessor(configuration, configuration.handover)
+        if predecessor:  # once it has ended, nobody serves its clients: the start must not wait any more
+            predecessor.on_channel_end = interrupted.set
     program = Program(configuration, operator_config, predecessor)
     await program.start(interrupted)
 
--- a/hazellead/lifecycle/handover.py
+++ b/hazellead/lifecycle/handover.py
@@ -10,7 +10,7 @@
 import itertools
 import os
 import socket
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from contextlib import suppress
 from dataclasses import dataclass
 from datetime import timedelta
@@ -349,6 +349,8 @@
         super().__init__(NullHandler())
         self.sockets: list[socket.socket] = []
         self.offer_body: dict[str, Any] = {}
+        self.on_channel_end: Callable[[], None] = lambda: None
+        self._path = ""
         self._awaited: asyncio.Future[Message] | None = None
         self._serving = False
 
@@ -363,7 +365,7 @@
         Raises HandoverError if the serving process refuses to be replaced.
         """
         loop = asyncio.get_running_loop()
-        until = loop.time() + TIMINGS.retry_limit.total_seconds()
+        until, self._path = loop.time() + TIMINGS.retry_limit.total_seconds(), path
         while True:
             try:
                 sock = await channel.connect(path, TIMINGS.connect.total_seconds())
@@ -398,6 +400,17 @@
         """Tell the other process that this one serves."""
         self._send("started")
 
+    async def has_ended(self) -> bool:
+        """Return whether the other process has ended: one that serves listens for successors."""
+        try:
+            sock = await channel.connect(self._path, TIMINGS.connect.total_seconds())
+        except (ConnectionRefusedError, FileNotFoundError):
+            return True
+        except OSError:
+            return False
+        sock.close()
+        return False
+
     def abandon(self) -> None:
         """Close the channel and the sockets received over it."""
         if self.channel:
@@ -448,3 +461,4 @@
         elif self._serving:
             log.info("predecessor_ended", reason=reason)
         self.settle_after_end()
+        self.on_channel_end()
--- a/hazellead/platform/handover.py
+++ b/hazellead/platform/handover.py
@@ -131,16 +131,27 @@
             self._scheduler.remember([*commit.texts("ended"), *commit.texts("open")])
             self._inherit_lease(commit, asked_at)
         except (HandoverError, MessageError) as error:
-            # If the predecessor has died, the address is free; else listening fails and this process exits.
             log.warning("handover_refused", reason=str(error))
-            self._predecessor.abandon()
-            self._listening_sockets = self._listen()
+            await self._replace_without_commit(self._predecessor)
             return
         self._listening_sockets = self._predecessor.sockets
         self._server.add_sockets(self._listening_sockets)
         self._predecessor.confirm_started()
         log.info("took_over")
 
+    async def _replace_without_commit(self, predecessor: HandoverTarget) -> None:
+        """Serve in place of a predecessor that has ended; raises ConfigError if it has not.
+
+        Its listening sockets are kept where it has sent them: closing them would reset the connections that
+        have been waiting there since its end.
+        """
+        if predecessor.sockets and await predecessor.has_ended():
+            self._listening_sockets = predecessor.sockets
+            self._server.add_sockets(self._listening_sockets)
+        else:
+            predecessor.abandon()
+            self._listening_sockets = self._listen()
+
     def _inherit_lease(self, commit: HandoverMessage, asked_at: datetime) -> None:
         """Continue with the predecessor's list and lease.
 
--- a/tests/test_shared_lists.py
+++ b/tests/test_shared_lists.py
@@ -156,3 +156,23 @@
             old.kill()
 
     run(case())
+
+
+def test_connections_that_wait_while_a_killed_process_is_replaced_are_answered(tmp_path: Path) -> None:
+    """Guards against requests lost with the address's queue: the successor closed it and listened anew."""
+    async def case() -> None:
+        async with Stand(tmp_path, 1).serving() as stand, stand.process("old") as old:
+            discovery = stand.discovery
+            await until(lambda: discovery.watches)
+            discovery.refuses_others = True
+            successor = stand.process("new")
+            starting = asyncio.ensure_future(successor.__aenter__())
+            await until(lambda: len(discovery.connections) > 1)  # the successor has its offer and is refused
+            old.kill()
+            await old.wait()
+            waiting = [asyncio.ensure_future(stand.post()) for _ in range(5)]
+            await starting
+            assert set(await asyncio.gather(*waiting)) <= {200, 429}
+            await successor.__aexit__(None, None, None)
+
+    run(case())
