--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -428,3 +428,23 @@
             s.watch.close()
 
     run(case())
+
+
+def test_a_list_that_is_pushed_is_not_kept_by_calls_without_an_answer() -> None:
+    """Guards against sends by an old list: a silent agent was taken for one that learns nothing."""
+    async def case() -> None:
+        discovery = QueuedDiscovery()
+        limits = replace(SHORT, notified_after=timedelta(milliseconds=300))
+        async with discovery.serving() as address:
+            known = listing(1, target("s-1"), whole=True)
+            watch = Watch(address, NAMES, limits, known, lambda _: None, 1, pushed=True)
+            watch.subscribe()
+            await watch.first_list(timedelta(seconds=5))
+            discovery.unanswered, discovery.calls_to_ignore = set(discovery.open_watches), 1000
+            await asyncio.sleep(0.7)  # longer than the lease
+            for _ in range(70):  # several calls without an answer
+                assert watch.list_expired()
+                await asyncio.sleep(0.01)
+            watch.close()
+
+    run(case())
