Review: one check of the list's discovery, a flatter refusal, no dead parts in tests

Behaviour is as it was. PlatformHandover compared the list's discovery twice (_is_of_same_discovery now); the branch of a refused job is flat; a paired assignment in request_offer is two; the soak's referee stops at the first answer that counts instead of weighing all; the stand of test_shared_lists opened its one worker twice and had an unused counter. No assertion changed.

--- a/hazellead/core/scheduler.py
+++ b/hazellead/core/scheduler.py
@@ -488,10 +488,11 @@
             case api.Push():
                 self._push(action)
             case api.Refuse():
-                if request := self._requests.get(action.request):
-                    job, reply = request.job, self._take_reply(action.request)
-                    if reply:
-                        self._refuse(job, reply, from_us(action.retry_after_us), self._reason_not_pushed())
+                request = self._requests.get(action.request)
+                reply = self._take_reply(action.request)
+                if request and reply:
+                    retry_after = from_us(action.retry_after_us)
+                    self._refuse(request.job, reply, retry_after, self._reason_not_pushed())
             case api.Fail():
                 if reply := self._take_reply(action.request):
                     reply.failed("given up")
--- a/hazellead/lab/soak/referee.py
+++ b/hazellead/lab/soak/referee.py
@@ -3,6 +3,7 @@
 from collections import defaultdict
 from collections.abc import Iterator
 from dataclasses import dataclass
+from itertools import islice
 
 from hazellead.lab.soak.plan import KEY_TTL_S, Effect
 from hazellead.lab.soak.records import Attempt, Change, ListAnswer, ProcessLife, Records, Request
@@ -209,9 +210,10 @@
         """
         since = max((life.started for life in self._lives_at(slot, now)), default=now)
         times = [self._reachable_from(change.at, now) + NOTIFIED_AFTER_S]
-        times += [answer.at for answer in self._records.told
-                  if answer.slot == slot and answer.version >= change.version
-                  and self._is_passed_on(answer)][:1]
+        answers = (answer.at for answer in self._records.told
+                   if answer.slot == slot and answer.version >= change.version
+                   and self._is_passed_on(answer))
+        times += islice(answers, 1)
         times += [max(change.at, silent_at + NOTIFIED_AFTER_S)
                   for silent_at in self._silent_watches(slot, change, since)]
         return max(since, min(times))
--- a/hazellead/lifecycle/handover.py
+++ b/hazellead/lifecycle/handover.py
@@ -365,7 +365,8 @@
         Raises HandoverError if the serving process refuses to be replaced.
         """
         loop = asyncio.get_running_loop()
-        until, self._path = loop.time() + TIMINGS.retry_limit.total_seconds(), path
+        until = loop.time() + TIMINGS.retry_limit.total_seconds()
+        self._path = path
         while True:
             try:
                 sock = await channel.connect(path, TIMINGS.connect.total_seconds())
--- a/hazellead/platform/handover.py
+++ b/hazellead/platform/handover.py
@@ -158,7 +158,7 @@
         The lease is counted from when the predecessor was asked, which is before it answered.
         """
         self.adopt_server_list(commit.body)
-        if commit.body.get("discovery") == host_port(self._watch.address) and "lease_ms" in commit.body:
+        if self._is_of_same_discovery(commit.body) and "lease_ms" in commit.body:
             self._watch.inherit_lease(asked_at + timedelta(milliseconds=commit.number("lease_ms")))
 
     def _class_and_tenant_names(self) -> tuple[list[str], list[str]]:
@@ -363,13 +363,17 @@
 
     def adopt_server_list(self, body: dict[str, Any]) -> None:
         """Use the other process's list of servers if it is newer and comes from the same discovery."""
-        if body.get("discovery") != host_port(self._watch.address):
+        if not self._is_of_same_discovery(body):
             return
         try:
             self._watch.adopt(body.get("told"))
         except ListError as error:
             log.warning("handover_incomplete", reason=str(error))
 
+    def _is_of_same_discovery(self, body: dict[str, Any]) -> bool:
+        """Return whether the list in a message's body comes from the discovery that is followed here."""
+        return body.get("discovery") == host_port(self._watch.address)
+
     def _share_server_list(self) -> None:
         """Send a list that discovery has told to this process to the other one, if both serve."""
         for link in (self._predecessor, self._successor):
--- a/tests/test_shared_lists.py
+++ b/tests/test_shared_lists.py
@@ -5,7 +5,7 @@
 import signal
 from collections import Counter
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager, suppress
+from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from pathlib import Path
 from typing import Any
 
@@ -73,7 +73,7 @@
     """A discovery, some workers and the processes of one scheduler."""
 
     def __init__(self, folder: Path, workers: int) -> None:
-        self.folder, self.port, self.count = folder, free_port(), Counter[bytes]()
+        self.folder, self.port = folder, free_port()
         self.workers = [HttpWorker(f"s-{n}", Counter(), lambda: self.port) for n in range(workers)]
         self.discovery = Discovery(*self.workers)
         self.names = iter(range(1000))
@@ -83,7 +83,9 @@
         server = await asyncio.start_server(self.discovery.serve, "127.0.0.1", 0)
         self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
         try:
-            async with self.workers[0].serving(), self.workers[-1].serving():
+            async with AsyncExitStack() as stack:
+                for worker in self.workers:
+                    await stack.enter_async_context(worker.serving())
                 yield self
         finally:
             server.close()
