--- a/review/1/case.py
+++ b/review/1/case.py
@@ -24,8 +24,8 @@
 
 PATH, DEADLINE_S = "/post-payment", 5.0
 HEADERS = {"X-Customer": "emajoe-energia"}
-OWN_DEADLINE_S, CLIENTS = 2.5, 8
-BAD_RUN_S, PAYMENT_RUN_S = 1.3, 1.8  # of a bad client's own job, and of a payment
+OWN_DEADLINE_S, CLIENTS = 2.8, 8
+BAD_RUN_S, PAYMENT_RUN_S = 1.9, 1.9  # of a bad client's own job, and of a payment
 KILL_AFTER_S = 3.7  # from SIGTERM: the longest deadline, counted as 3 s where it is longer, and 0.7 s
 
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -26,6 +26,7 @@
 PATH, DEADLINE_S, RUN_S, HANG_S = "/post-payment", 5.0, 0.3, 60.0
 HEADERS = {"X-Customer": "emajoe-energia"}
 YES_WITHIN_S = 6.0  # the new process gets 6 s to say yes
+GAP_S = 0.5  # from SIGTERM to the old process to the next start of the program
 KILL_AFTER_S = 3.7  # from SIGTERM: the longest deadline, counted as 3 s where it is longer, and 0.7 s
 
 
@@ -78,7 +79,9 @@
     hung_answer = asyncio.ensure_future(connection.answer(hung))
     await asyncio.sleep(1.5)
     second = await replace("second", first)
-    if not trouble:  # the next replacement begins only after the first old process has ended
+    if trouble:
+        await asyncio.sleep(GAP_S)
+    else:  # the next replacement begins only after the first old process has ended
         await asyncio.gather(*endings)
     third = await replace("third", second)
     at = loop.time()
