Hand-over: only the new process accepts jobs, so that no id is accepted twice

Cause: each process checked ids against those that it had accepted itself. The old one still accepted requests on the connections that it kept; it told the new one of their ids up to 20 ms late, and was told of none.

Change: from its `commit` on the old process accepts no job. A request that comes whole there is kept and passed on with its connection, as it came, with the time it has waited; if the successor dies it is accepted here; after 0.5 s, or at the end, it is refused with a time to come back.

Why this works: one process decides on each id, and it has all ids that the other accepted.

--- a/hazellead/core/scheduler.py
+++ b/hazellead/core/scheduler.py
@@ -59,6 +59,7 @@
         self._dispatcher = Dispatcher(self.settings, seed)
         self._requests: dict[int, _Request] = {}
         self._identities: set[str] = set()
+        self._identities_elsewhere: set[str] = set()  # of requests open in another process of this scheduler
         self._ended_ids: OrderedDict[str, None] = OrderedDict()  # of recently ended requests
         self._listed: dict[int, api.WorkerEntry] = {}
         self._draining: set[int] = set()  # workers listed as draining and not as ready since
@@ -96,7 +97,8 @@
 
         Guards against running a job twice, and against two requests that call-backs could not tell apart.
         """
-        return identity in self._identities or identity in self._ended_ids
+        return (identity in self._identities or identity in self._identities_elsewhere
+                or identity in self._ended_ids)
 
     def refuse(self, job: Job, reply: ClientReply) -> None:
         """Refuse a job that a client front end does not want to submit."""
@@ -128,11 +130,28 @@
         """Return the ids of open requests."""
         return frozenset(self._identities)
 
+    @property
+    def all_open_identities(self) -> frozenset[str]:
+        """Return the ids of requests that are open here or in another process of this scheduler."""
+        return self.open_identities | self._identities_elsewhere
+
     @property
     def ended_identities(self) -> list[str]:
         """Return the ids of requests that ended recently, oldest first."""
         return list(self._ended_ids)
 
+    def note_open_elsewhere(self, identities: Iterable[str]) -> None:
+        """Treat these ids as used by requests that are open in another process of this scheduler.
+
+        They are kept apart from those that have ended, of which only the newest are kept.
+        """
+        self._identities_elsewhere.update(identities)
+
+    def note_elsewhere_ended(self) -> None:
+        """Treat the requests that were open in the other process as ended: that process is gone."""
+        self.remember(self._identities_elsewhere - self._identities)
+        self._identities_elsewhere.clear()
+
     def remember(self, identities: Iterable[str]) -> None:
         """Treat these ids as used by requests that have ended."""
         self._ended_ids |= dict.fromkeys(identities)
@@ -233,6 +252,7 @@
         """Accept a job from another process with the attempts made for it; return its number here."""
         self._last_number += 1
         self._ended_ids.pop(job.identity, None)
+        self._identities_elsewhere.discard(job.identity)
         own = attempts(self._last_number)
         self._accept(job, self._with_counting(job, reply), left, own)
         for attempt in own:
--- a/hazellead/lifecycle/handover.py
+++ b/hazellead/lifecycle/handover.py
@@ -19,6 +19,7 @@
 
 import structlog
 
+from hazellead.core.clock import to_us
 from hazellead.lifecycle import channel
 from hazellead.lifecycle.channel import Channel
 from hazellead.lifecycle.handover_roles import HandoverHandler, NullHandler, OpenWork, PredecessorHandler
@@ -42,10 +43,12 @@
     pass_on_interval: timedelta = timedelta(milliseconds=20)  # between rounds of passing work on
     flush: timedelta = timedelta(milliseconds=500)  # for the last messages of a process that exits
     call_back: timedelta = timedelta(seconds=1)  # for the answer to a forwarded call-back
+    request: timedelta = timedelta(milliseconds=500)  # for a request that waits to be passed on
     job_decision: timedelta = timedelta(milliseconds=500)  # for the new process's answer to a batch of jobs
 
 
 TIMINGS = Timings()
+MAX_BATCH_BYTES = 1 << 20  # of requests, above which a message takes no more; far below a message's limit
 MAX_UNSENT_MESSAGES = 16  # on the channel; while as many wait, no more connections or jobs are passed on
 
 
@@ -128,10 +131,12 @@
             except ValueError:
                 raise MessageError("malformed connections") from None
             flags = message.texts("flags")
-            if not len(read) == len(flags) == len(sockets):
+            # An older version of the program passes on no request that has come whole.
+            waited = message.spans("waited") if "waited" in message.body else [timedelta(0)] * len(read)
+            if not len(read) == len(flags) == len(waited) == len(sockets):
                 raise MessageError("connections do not match their descriptors")
-            for sock, data, flag in zip(sockets, read, flags, strict=True):
-                self.handler.adopt(Detached(sock, data, "p" in flag, "l" in flag))
+            for sock, data, flag, span in zip(sockets, read, flags, waited, strict=True):
+                self.handler.adopt(Detached(sock, data, "p" in flag, "l" in flag, waited=span))
         else:
             return False
         return True
@@ -260,7 +265,8 @@
 
     def _pass_on_repeatedly(self) -> None:
         if self._step is _Step.SUCCEEDED and self.channel:
-            self._pass_connections(self.channel)
+            self._send("left", **self._predecessor_handler.open_work().to_body())
+            self._pass_connections()
             self._offer_jobs()
             asyncio.get_running_loop().call_later(
                 TIMINGS.pass_on_interval.total_seconds(), self._pass_on_repeatedly)
@@ -294,17 +300,30 @@
         if ready is not None:
             self._offer_jobs()
 
-    def _pass_connections(self, channel: Channel) -> None:
-        """Report this process's open work and pass on the connections that have no open job."""
-        self._send("left", **self._predecessor_handler.open_work().to_body())
-        while channel.writable and channel.unsent < MAX_UNSENT_MESSAGES:
-            detached = list(itertools.islice(self._predecessor_handler.detach_idle(), MAX_DESCRIPTORS))
-            if not detached:
+    def pass_on_soon(self) -> None:
+        """Pass on connections in the next turn of the event loop, ahead of the next round."""
+        asyncio.get_running_loop().call_soon(self._pass_connections)
+
+    def _pass_connections(self) -> None:
+        """Pass on the connections that have no open job."""
+        while self._step is _Step.SUCCEEDED and self.channel and self.channel.writable:
+            if self.channel.unsent >= MAX_UNSENT_MESSAGES or not (batch := self._detach_batch()):
+                break
+            self.channel.send(
+                "connections", [d.sock for d in batch],
+                read=[base64.b64encode(d.read).decode() for d in batch],
+                flags=["p" * d.proven + "l" * d.from_worker for d in batch],
+                waited=[to_us(d.waited) for d in batch])
+
+    def _detach_batch(self) -> list[Detached]:
+        """Detach as many connections as one message takes."""
+        batch, size = list[Detached](), 0
+        for detached in self._predecessor_handler.detach_idle():
+            batch.append(detached)
+            size += len(detached.read)
+            if len(batch) == MAX_DESCRIPTORS or size > MAX_BATCH_BYTES:
                 break
-            channel.send(
-                "connections", [d.sock for d in detached],
-                read=[base64.b64encode(d.read).decode() for d in detached],
-                flags=["p" * d.proven + "l" * d.from_worker for d in detached])
+        return batch
 
     def _on_channel_end(self, reason: str) -> None:
         step, self._step, channel, self.channel = self._step, _Step.IDLE, self.channel, None
--- a/hazellead/lifecycle/handover_roles.py
+++ b/hazellead/lifecycle/handover_roles.py
@@ -16,8 +16,8 @@
     """Connections and attempts that a process still has open.
 
     ``attempts`` has, by worker's uid, the number of open attempts and how many of these have not begun.
-    ``new_ids`` are the ids of jobs that the process has accepted since its last report, from requests whose
-    head had come before the hand-over.
+    ``new_ids`` are the ids of jobs that have been opened since its last report: this process accepts none any
+    more, but one of an older version does, and jobs may be passed to it.
     """
 
     client_connections: int = 0
@@ -89,13 +89,16 @@
         """Return copies of the listening sockets and the offer's body, or the reason why not now."""
 
     def stop_accepting(self) -> dict[str, Any]:
-        """Accept no more connections; return the ids of open and of ended jobs."""
+        """Accept no more connections and jobs; return the ids of open and of ended jobs."""
 
     def take_back(self) -> None:
         """Accept connections again: the successor is gone."""
 
     def detach_idle(self) -> Iterable[Detached]:
-        """Detach the connections that have no open job, one by one, to be passed on."""
+        """Detach the connections that have no open job, one by one, to be passed on.
+
+        Such a connection may take along a request that this process has not accepted.
+        """
 
     def open_work(self) -> OpenWork:
         """Return what is still open in this process."""
--- a/hazellead/lifecycle/messages.py
+++ b/hazellead/lifecycle/messages.py
@@ -9,10 +9,14 @@
 import struct
 from collections.abc import Iterator
 from dataclasses import dataclass
+from datetime import timedelta
 from typing import Any
 
+from hazellead.core.clock import from_us
+
 PROTOCOL_VERSION = 1
 MAX_FRAME_BYTES = 8 << 20  # an offer for a thousand workers has some 0.5 MiB
+MAX_SPAN_US = 10**14  # three years
 MAX_DESCRIPTORS = 32  # in one frame; the system allows 253
 _HEADER = struct.Struct(">IB")
 
@@ -42,6 +46,16 @@
             raise MessageError(f"{self.kind}.{key} is not a list of strings")
         return value
 
+    def spans(self, key: str) -> list[timedelta]:
+        """Return the list of non-negative durations at ``key`` of the body, sent in microseconds.
+
+        Raises MessageError if it is not one.
+        """
+        value = self.body.get(key)
+        if not isinstance(value, list) or not all(type(us) is int and 0 <= us <= MAX_SPAN_US for us in value):
+            raise MessageError(f"{self.kind}.{key} is not a list of durations")
+        return [from_us(us) for us in value]
+
     def number(self, key: str) -> int:
         """Return the non-negative integer at ``key`` of the body; raises MessageError if it is not one."""
         value = self.body.get(key)
--- a/hazellead/lifecycle/passed_jobs.py
+++ b/hazellead/lifecycle/passed_jobs.py
@@ -18,10 +18,9 @@
 from hazellead.core.jobs import Job
 from hazellead.core.migration import OpenAttempt, OpenJob
 from hazellead.decide import interface as api
-from hazellead.lifecycle.messages import MessageError
+from hazellead.lifecycle.messages import MAX_SPAN_US, MessageError
 
 MAX_ATTEMPTS = 16  # of one job; settings allow fewer
-MAX_SPAN_US = 10**14  # three years
 _MAX_TEXT_LENGTH = 16 * 1024  # the limit on a request's head, which contains the target
 
 T = TypeVar("T")
--- a/hazellead/net/http.py
+++ b/hazellead/net/http.py
@@ -14,6 +14,7 @@
 _TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+\Z")
 _TARGET = re.compile(r"(?:[0-9A-Za-z._~!$&'()*+,;=:@/?-]|%[0-9A-Fa-f]{2})+\Z")  # RFC 3986
 _REQUEST_BEGINNING = re.compile(rb"(?:\r\n)*(?:\r?\Z|[A-Z]{1,16}(?:\Z| \Z| [/*h]))")
+_FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding", "expect"})
 _HEADER_VALUE = re.compile(r"[\t -~\x80-\xff]*\Z")  # no control characters but the tab
 
 
@@ -229,3 +230,12 @@
     if body or method == "POST":
         lines.append(f"Content-Length: {len(body)}")
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
+
+
+def encode_received(message: Message) -> bytes:
+    """Encode a received request again, whole; its head does not get longer than it was received."""
+    lines = [" ".join(message.start_line)]
+    lines += [f"{name}:{value}" for name, value in message.headers.items() if name not in _FRAMING_HEADERS]
+    if message.body:
+        lines.append(f"content-length:{len(message.body)}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + message.body
--- a/hazellead/net/server.py
+++ b/hazellead/net/server.py
@@ -4,7 +4,7 @@
 import socket
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from enum import Enum
 from itertools import islice
@@ -17,7 +17,7 @@
 from hazellead.core.clock import Clock
 from hazellead.limits import Limits
 from hazellead.net.accept import Listener
-from hazellead.net.http import HttpError, Message, Parser, response
+from hazellead.net.http import HttpError, Message, Parser, encode_received, response
 from hazellead.net.streams import alive, close_gently
 
 log = structlog.get_logger()
@@ -29,11 +29,11 @@
 class Exchange:
     """One request and its answer. ``on_disconnect`` is called if the client disconnects before the answer."""
 
-    __slots__ = ("answer", "from_worker", "job", "message", "on_disconnect")
+    __slots__ = ("answer", "from_worker", "job", "message", "on_disconnect", "waited")
 
-    def __init__(self, message: Message) -> None:
-        """Start with no answer."""
-        self.message = message
+    def __init__(self, message: Message, waited: timedelta = timedelta(0)) -> None:
+        """Start with no answer, ``waited`` after the request had come whole."""
+        self.message, self.waited = message, waited
         self.answer: asyncio.Future[tuple[int, bytes, dict[str, str]]] = asyncio.Future()
         self.on_disconnect: Callable[[], None] | None = None
         self.job: int | None = None  # the scheduler's number of the job that was made from it
@@ -67,6 +67,7 @@
         self.proven = False  # at least one valid request was received
         self.from_worker = False  # the last request was a worker's call-back
         self.buffered_bytes = 0  # of a request that is not complete
+        self._waited = timedelta(0)  # of the next request, in the process that passed this connection on
         self._discarded_bytes = 0  # read while the parser's buffer was full
         self.closing = self._ended = False  # to be closed after the answer; already shut down or detached
         self.state: State | None = None
@@ -160,7 +161,8 @@
         self._reading = self._reading or self._begin_read()
         if self._reading.done() and self._reading.exception():
             await self._reading
-        self.exchange = exchange = Exchange(message)
+        self.exchange = exchange = Exchange(message, self._waited)
+        self._waited = timedelta(0)
         self.enter(State.PROCESSING)
         self._server.handler(exchange)
         return await self._finish(exchange)
@@ -215,6 +217,15 @@
         self.exchange = None  # so that closing the stream here does not count as a disconnect
         return detached
 
+    def detach_with_request(self) -> "Detached | None":
+        """Release the open connection with a request that was not acted on; None if not possible now.
+
+        The receiver gets the request as if it had not been read here.
+        """
+        if not (detached := self.detach_with_job()) or not (exchange := detached.exchange):
+            return None
+        return replace(detached, exchange=None, read=encode_received(exchange.message) + detached.read)
+
     def _detach(self, exchange: "Exchange | None" = None) -> "Detached | None":
         reading = self._reading
         if self._ended or self.closing or self._stream.writing() or (
@@ -232,6 +243,7 @@
     def resume(self, detached: "Detached") -> None:
         """Continue a connection in the state in which another process detached it."""
         self.proven, self.from_worker = detached.proven, detached.from_worker
+        self._waited = detached.waited
         self._parser.feed(detached.read)
         if detached.exchange:
             self.exchange = detached.exchange
@@ -311,6 +323,7 @@
     proven: bool
     from_worker: bool
     exchange: Exchange | None = None  # the request being processed, if its job is passed along
+    waited: timedelta = timedelta(0)  # since the request in ``read`` had come whole; 0 if it has not yet
 
 
 class HttpServer(Listener):
--- a/hazellead/platform/clients.py
+++ b/hazellead/platform/clients.py
@@ -79,6 +79,8 @@
         """
         self._scheduler, self.names, self._report = scheduler, names, report
         self._up, self._takes_jobs = up, takes_jobs
+        # Keeps a request for another process, which alone accepts jobs; False: it is to be handled here.
+        self.defer: Callable[[Exchange], bool] = lambda exchange: False
 
     def handle(self, exchange: Exchange) -> None:
         """Handle one request."""
@@ -95,24 +97,35 @@
                     pending_status.add_done_callback(lambda status: exchange.respond(status.result()))
                 else:
                     exchange.respond(200)
-            else:
-                self._submit(exchange, method, target)
+            elif not self.defer(exchange):
+                self._submit(exchange, accepts=self._takes_jobs())
         except BadRequestError as bad:
-            allow = {"Allow": str(bad).split()[-1]} if bad.status == 405 else None
-            exchange.respond(bad.status, f"{bad}\n".encode(), allow)
+            self._reject(exchange, bad)
+
+    def refuse(self, exchange: Exchange) -> None:
+        """Answer a request for a job without accepting the job."""
+        try:
+            self._submit(exchange, accepts=False)
+        except BadRequestError as bad:
+            self._reject(exchange, bad)
+
+    def _reject(self, exchange: Exchange, bad: BadRequestError) -> None:
+        allow = {"Allow": str(bad).split()[-1]} if bad.status == 405 else None
+        exchange.respond(bad.status, f"{bad}\n".encode(), allow)
 
     def _require_method(self, method: str, allowed: str) -> None:
         if method != allowed:
             raise BadRequestError(405, f"use {allowed}")
 
-    def _submit(self, exchange: Exchange, method: str, target: str) -> None:
+    def _submit(self, exchange: Exchange, *, accepts: bool) -> None:
+        method, target, _ = exchange.message.start_line
         parts = target.partition("?")[0].split("/")
         class_index = name_index(self.names.classes, parts[1]) if parts[0] == "" and len(parts) > 1 else -1
         if class_index < 0:
             raise BadRequestError(404, "no such class")
         self._require_method(method, "POST")
         job = self._job(exchange, target, class_index)
-        if not self._takes_jobs():
+        if not accepts:
             self._scheduler.refuse(job, Reply(exchange))
             return
         self.follow(exchange, self._scheduler.submit(job, Reply(exchange)))
@@ -139,11 +152,12 @@
         remaining = deadline if expires_in is None else parse_span(expires_in)
         if remaining is None:
             raise BadRequestError(400, "X-Expires-In is malformed")
-        # The remaining time is capped by the class's deadline below, which bounds the timers.
+        # Capped by the class's deadline, which bounds the timers.
+        remaining = max(timedelta(0), min(remaining, deadline) - exchange.waited)
         idempotency_key = headers.get("idempotency-key", "")
         if len(idempotency_key) > self._scheduler.limits.name:
             raise BadRequestError(400, "Idempotency-Key is too long")
-        return Job(identity, target, exchange.message.body, job_class, tenant, min(remaining, deadline),
+        return Job(identity, target, exchange.message.body, job_class, tenant, remaining,
                    slots=self._slots(headers.get("x-props", "")),
                    function=self.names.classes[class_index], class_name=self.names.classes[class_index],
                    idempotency_key=idempotency_key)
--- a/hazellead/platform/handover.py
+++ b/hazellead/platform/handover.py
@@ -15,7 +15,13 @@
 from hazellead.core.migration import JobMigration, MigrationRefusedError
 from hazellead.core.scheduler import Scheduler
 from hazellead.lifecycle import knowledge
-from hazellead.lifecycle.handover import TIMINGS, HandoverError, HandoverSource, HandoverTarget
+from hazellead.lifecycle.handover import (
+    MAX_BATCH_BYTES,
+    TIMINGS,
+    HandoverError,
+    HandoverSource,
+    HandoverTarget,
+)
 from hazellead.lifecycle.handover_roles import OpenWork
 from hazellead.lifecycle.messages import Message as HandoverMessage
 from hazellead.lifecycle.messages import MessageError
@@ -25,6 +31,7 @@
 from hazellead.net.server import Detached, Exchange, HttpServer
 from hazellead.platform.clients import HttpRequestHandler, Reply
 from hazellead.platform.config import Config, host_port
+from hazellead.platform.deferred_requests import DeferredRequests
 from hazellead.platform.discovery import Watch
 from hazellead.platform.server_list import ListError
 from hazellead.platform.workers import HttpWorkers, callback_error
@@ -33,7 +40,6 @@
 
 _MAX_DEFERRED_CALL_BACKS = 16  # for one job while it is passed; workers repeat those over it
 _MS = timedelta(milliseconds=1)
-_MAX_BATCH_BYTES = 1 << 20  # of bodies, above which no more jobs are added; far below a message's limit
 
 
 @dataclass(slots=True, eq=False)
@@ -96,6 +102,8 @@
         self._paused_sockets: list[socket.socket] = []  # listening sockets on which the successor accepts now
         self._listen, self._predecessor = listen, predecessor
         self._successor = HandoverSource(config.handover, host_port(config.listen), self)
+        self._deferred = DeferredRequests(clock, request_handler.handle, request_handler.refuse)
+        request_handler.defer = self._defer
         self._listening_sockets: list[socket.socket] = []
         watch.on_new_version = self._share_server_list
         if predecessor:
@@ -128,7 +136,8 @@
         asked_at = self._clock.now()
         try:
             commit = await self._predecessor.commit()
-            self._scheduler.remember([*commit.texts("ended"), *commit.texts("open")])
+            self._scheduler.remember(commit.texts("ended"))
+            self._scheduler.note_open_elsewhere(commit.texts("open"))
             self._inherit_lease(commit, asked_at)
         except (HandoverError, MessageError) as error:
             log.warning("handover_refused", reason=str(error))
@@ -184,11 +193,11 @@
             "watched": self._watch.misses_no_changes, **self.server_list()}
 
     def stop_accepting(self) -> dict[str, Any]:
-        """Accept no more connections; return the ids of open and of ended jobs."""
+        """Accept no more connections and jobs; return the ids of open and of ended jobs."""
         self._life.hand_over(self._clock.now())
         self._paused_sockets = self._server.pause()
         self._workers.pool.close_all_idle()
-        self._reported_ids = self._scheduler.open_identities
+        self._reported_ids = self._scheduler.all_open_identities
         return {"open": list(self._reported_ids), "ended": self._scheduler.ended_identities,
                 "lease_ms": self._watch.lease_left() // _MS, **self.server_list()}
 
@@ -198,18 +207,42 @@
         self._life.take_back(self._clock.now())
         self._server.add_sockets(self._paused_sockets)
         self._paused_sockets = []
+        self._deferred.handle_all()
+
+    def _defer(self, exchange: Exchange) -> bool:
+        """Keep a request for the successor; return False if this process has none and accepts jobs itself.
+
+        Prevents a job from running twice: the ids that the successor has accepted are not known here.
+        """
+        if not self._life.has_successor:
+            return False
+        left = self._answer_by - self._clock.now() if self._answer_by else TIMINGS.request
+        if left <= timedelta(0):
+            self._request_handler.refuse(exchange)
+        else:
+            self._deferred.add(exchange, min(left, TIMINGS.request))
+            self._successor.pass_on_soon()
+        return True
 
     def detach_idle(self) -> Iterator[Detached]:
-        """Detach the connections that have no open job, one by one, to be passed on."""
+        """Detach the connections that have no open job, one by one, to be passed on.
+
+        A connection with a deferred request takes that along.
+        """
         for connection in list(self._server.connections):
-            if detached := connection.detach():
+            exchange = connection.exchange
+            if exchange is None or exchange not in self._deferred:
+                detached = connection.detach()
+            elif detached := connection.detach_with_request():
+                detached = replace(detached, waited=self._deferred.remove(exchange))
+            if detached:
                 yield detached
 
     def open_work(self) -> OpenWork:
         """Return what is still open in this process."""
         attempts = {
             self._watch.name(worker): counts for worker, counts in self._scheduler.open_attempts().items()}
-        reported, self._reported_ids = self._reported_ids, self._scheduler.open_identities
+        reported, self._reported_ids = self._reported_ids, self._scheduler.all_open_identities
         return OpenWork(len(self._server.connections), self._workers.pool.count(), attempts,
                         list(self._reported_ids - reported))
 
@@ -232,7 +265,7 @@
             return batch
         size = 0
         for connection in list(self._server.connections):
-            if len(batch) == limit or size > _MAX_BATCH_BYTES:
+            if len(batch) == limit or size > MAX_BATCH_BYTES:
                 break
             if (exchange := connection.exchange) is None or (number := exchange.job) is None:
                 continue
@@ -286,6 +319,7 @@
         """Continue with the parked jobs and drop the reserved ones: the other process is gone."""
         self.settle_parked((), refused=False)
         self.settle_reserved(self._reserved.number, ())
+        self._scheduler.note_elsewhere_ended()
         if self._passed_ids:
             log.info("jobs_passed_on", count=len(self._passed_ids), refused=len(self._refused))
         if self._jobs_taken_over:
@@ -431,7 +465,7 @@
         numbered = ((self._watch.number(uid), counts) for uid, counts in open_work.attempts.items())
         self._scheduler.set_attempts_elsewhere(
             {number: counts for number, counts in numbered if number is not None})
-        self._scheduler.remember(open_work.new_ids)
+        self._scheduler.note_open_elsewhere(open_work.new_ids)
 
 
 async def ask_predecessor(config: Config, path: str) -> tuple[Config, HandoverTarget | None]:
--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -33,6 +33,7 @@
 LONG_US = 60_000_000  # longer than a process may take to end
 LONG_SETTINGS = SETTINGS | {"requestClasses": [
     row | {"hardLimitUs": LONG_US} for row in SETTINGS["requestClasses"]]}
+LEASE_MS = 5000  # left of the lease on a list, as a test double of a process says
 CLASS_NAME = SETTINGS["requestClasses"][0]["name"]
 
 
@@ -127,7 +128,8 @@
         self.received: asyncio.Queue[tuple[Message, list[socket.socket]]] = asyncio.Queue()
         self.ended: list[str] = []
 
-    async def take_over(self) -> "OtherProcess":
+    async def commit(self) -> "OtherProcess":
+        """Have the old process stop accepting, without saying yet that this one serves."""
         sock = await channel.connect(self.site.path, 5)
         self.channel = Channel(sock, lambda m, s: self.received.put_nowait((m, s)), self.ended.append)
         hello = {"takes_jobs": True} if self.takes_jobs else {}
@@ -135,6 +137,10 @@
         _, self.listening = await self.next("offer")
         self.channel.send("ready")
         await self.next("commit")
+        return self
+
+    async def take_over(self) -> "OtherProcess":
+        await self.commit()
         self.channel.send("started")
         return self
 
@@ -376,8 +382,11 @@
 class Predecessor(OtherProcess):
     """A test double of the process that a real one replaces."""
 
-    async def serve(self, start: Any) -> Any:
-        """Let the process of the program that ``start`` begins replace this one; return that process."""
+    async def serve(self, start: Any, version: int = 0, discovery: str = "") -> Any:
+        """Let the process of the program that ``start`` begins replace this one; return that process.
+
+        The process that it offers has a list of this ``version`` from this ``discovery``.
+        """
         listening = socket.create_server(("127.0.0.1", self.site.port))
         unix_listener, connected = (
             channel.listen_at(self.site.path), asyncio.get_running_loop().create_future())
@@ -396,10 +405,10 @@
         assert hello.body["takes_jobs"] is True
         targets = [{"uid": w.uid, "endpoint": f"127.0.0.1:{w.port}", "az": "tartu-dc", "state": "up"}
                    for w in self.site.workers]
-        self.channel.send("offer", [listening.dup()], version=1, known={}, discovery="",
-                          told={"rev": 0, "all": True, "targets": targets})
+        self.channel.send("offer", [listening.dup()], version=1, known={}, discovery=discovery, watched=True,
+                          told={"rev": version, "all": True, "targets": targets})
         await self.next("ready")
-        self.channel.send("commit", open=["a"], ended=[])
+        self.channel.send("commit", open=["a"], ended=[], discovery=discovery, lease_ms=LEASE_MS)
         await self.next("started")
         self.listening = [listening]
         return await starting
