Hand-over: replacements may overlap, and one process alone accepts at the address

Cause: the first process took any end of the channel to its successor for that one's death and accepted again, though the successor had itself been replaced by a third process.

Change: before a process accepts again it looks whether another listens at the hand-over's path, as whoever serves does; if so it only ends what it has. A process that has been replaced ends after its predecessor, within its own time, and passes on between the two others: call-backs and lists both ways, connections, requests, jobs, open work and ids to the newer. The end of one neighbour no longer settles what the other is passing.

Why this works: the check asks for the fact that matters, not for the reason of the channel's end; and with the middle process there, nothing between the outer two is dropped.

--- a/hazellead/__main__.py
+++ b/hazellead/__main__.py
@@ -136,6 +136,8 @@
         self.sweep_timer = PeriodicCallback(self.workers.pool.sweep, self.limits.sweep)
         self.sweep_timer.start()
         self.drain_timer = PeriodicCallback(self._end_idle, self.limits.drain_poll)
+        if self.handover:
+            self.handover.on_successor_lost = self._start_drain_timer
         if operator_config and operator_config.peers:
             from hazellead.peers.assembly import assemble
 
@@ -180,7 +182,7 @@
         """Begin to drain the scheduler; return whether it is being drained now."""
         if self.life.quiesce(self.clock.now()):
             log.info("quiesced", held=self.scheduler.unanswered)
-            self.drain_timer.start()
+            self._start_drain_timer()
         return self.life.phase is Phase.QUIESCED
 
     def resume(self) -> bool:
@@ -190,6 +192,10 @@
             self.drain_timer.stop()
         return self.life.phase is Phase.READY
 
+    def _start_drain_timer(self) -> None:
+        if not self.drain_timer.is_running():
+            self.drain_timer.start()
+
     def _end_idle(self) -> None:
         if self.life.ends_idle(self.clock.now()):
             self.server.end_idle()
@@ -261,6 +267,15 @@
         log.info("settings_changed", generation=generation.number,
                  classes=",".join(configuration.names.classes))
 
+    def _passes_on(self) -> bool:
+        """Return whether there is something to pass to the successor, from here or from the predecessor.
+
+        The predecessor reaches the process that serves now through this one only.
+        """
+        if not self.handover or not self.life.reaches_successor:
+            return False
+        return bool(self.server.connections) or self.handover.predecessor_open
+
     async def stop(self) -> None:
         """Accept jobs while there is time to answer them, answer the open ones and close connections.
 
@@ -271,11 +286,11 @@
         now = self.clock.now()
         self.life.end(now)
         self.scheduler.end_by(now + self.limits.shutdown_answer)
-        self.drain_timer.start()
+        self._start_drain_timer()
         answer_by = now + self.limits.shutdown_answer
         if self.handover:
             self.handover.pass_on_jobs_outlasting(answer_by)
-        while self.life.has_successor and self.server.connections and self.clock.now() < answer_by:
+        while self._passes_on() and self.clock.now() < answer_by:
             await asyncio.sleep(self.limits.drain_pause.total_seconds())  # until all are passed on or closed
         while not self.life.has_successor and self.takes_jobs():
             await asyncio.sleep(self.limits.drain_poll.total_seconds())
--- a/hazellead/lifecycle/channel.py
+++ b/hazellead/lifecycle/channel.py
@@ -200,3 +200,16 @@
         sock.close()
         raise
     return sock
+
+
+def is_served(path: str) -> bool:
+    """Return whether a process listens at the socket at a path; False if that cannot be found out."""
+    try:
+        with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as sock:
+            sock.setblocking(False)
+            sock.connect(path)
+    except BlockingIOError:  # its queue is full
+        return True
+    except OSError:
+        return False
+    return True
--- a/hazellead/lifecycle/handover.py
+++ b/hazellead/lifecycle/handover.py
@@ -22,7 +22,13 @@
 from hazellead.core.clock import to_us
 from hazellead.lifecycle import channel
 from hazellead.lifecycle.channel import Channel
-from hazellead.lifecycle.handover_roles import HandoverHandler, NullHandler, OpenWork, PredecessorHandler
+from hazellead.lifecycle.handover_roles import (
+    CallBack,
+    HandoverHandler,
+    NullHandler,
+    OpenWork,
+    PredecessorHandler,
+)
 from hazellead.lifecycle.messages import MAX_DESCRIPTORS, PROTOCOL_VERSION, Message, MessageError
 from hazellead.lifecycle.passed_jobs import PendingBatch
 from hazellead.net.server import Detached
@@ -68,6 +74,8 @@
         """Return whether the other process can be reached."""
         return self.channel is not None and self.channel.open
 
+    other_is_successor: bool  # else the other process is the predecessor
+
     @property
     def both_serve(self) -> bool:
         """Return whether both processes serve, so that a call-back may concern the other's jobs."""
@@ -85,9 +93,7 @@
         if self.both_serve and self._other_adopts_lists:
             self._send("list", **self.handler.server_list())
 
-    def forward_call_back(
-        self, identity: str, sender: str, state: str, payload: Any,
-    ) -> "asyncio.Future[int] | None":
+    def forward_call_back(self, call_back: CallBack) -> "asyncio.Future[int] | None":
         """Forward a call-back to the other process; None if no other process serves.
 
         The future yields the status to answer with: 503 if the other process does not answer in time.
@@ -99,7 +105,8 @@
         # If the other process hangs, 503 makes the worker retry, and by then that process may be gone.
         asyncio.get_running_loop().call_later(
             TIMINGS.call_back.total_seconds(), self._settle_forwarded, number, 503)
-        self._send("call_back", number=number, id=identity, sender=sender, state=state, rest=payload)
+        self._send("call_back", number=number, id=call_back.identity, sender=call_back.sender,
+                   state=call_back.state, rest=call_back.payload)
         return answer
 
     def _settle_forwarded(self, number: int, status: int) -> None:
@@ -111,9 +118,10 @@
         """Act on a message that either side may send; return False for any other message."""
         if message.kind == "call_back":
             number = message.number("number")
-            identity, sender, state = (message.text(key) for key in ("id", "sender", "state"))
+            call_back = CallBack(
+                message.text("id"), message.text("sender"), message.text("state"), message.body.get("rest"))
             answer = self.handler.handle_forwarded_call_back(
-                identity, sender, state, message.body.get("rest"))
+                call_back, from_successor=self.other_is_successor)
             if answer is None:
                 self._send("answered", number=number, status=200)
             else:
@@ -141,12 +149,10 @@
             return False
         return True
 
-    def settle_after_end(self) -> None:
-        """Settle everything that waits for the other process: its jobs have ended with it."""
+    def settle_all_forwarded(self) -> None:
+        """Settle the call-backs that wait for the other process: its jobs have ended with it."""
         for number in list(self._forwarded):
             self._settle_forwarded(number, 200)
-        self.handler.other_process_ended()
-        self.handler.set_other_open_work(OpenWork())
 
 
 class _Step(Enum):
@@ -159,6 +165,8 @@
 class HandoverSource(HandoverLink):
     """The hand-over in the process that is replaced."""
 
+    other_is_successor = True
+
     def __init__(self, path: str, listen: str, handler: PredecessorHandler) -> None:
         """Prepare to offer the address ``listen`` at the socket ``path``."""
         super().__init__(handler)
@@ -326,25 +334,37 @@
         return batch
 
     def _on_channel_end(self, reason: str) -> None:
-        step, self._step, channel, self.channel = self._step, _Step.IDLE, self.channel, None
+        step, self._step, ended_channel, self.channel = self._step, _Step.IDLE, self.channel, None
         self._timer_number += 1
         self._batch.clear()
         self._successor_takes_jobs = False
-        self.settle_after_end()
+        self.settle_all_forwarded()
+        self._predecessor_handler.successor_ended()
         if self._closed:
             return
         if step in (_Step.COMMITTED, _Step.SUCCEEDED):
-            log.warning("handover_taken_back", reason=reason)
-            self._predecessor_handler.take_back()
-            self._take_back_unsent(channel)
-            if self._socket is None:
-                self.listen()
+            self._continue_without_channel(reason)
+            self._take_back_unsent(ended_channel)
         elif step is _Step.OFFERED:
             log.warning("handover_broken", reason=reason)
 
-    def _take_back_unsent(self, channel: Channel | None) -> None:
+    def _continue_without_channel(self, reason: str) -> None:
+        """Serve at the address again, unless another process does: it listens for successors, too.
+
+        The successor may itself have been replaced before it ended, or only the channel may have broken.
+        """
+        self.stop_listening()
+        if channel.is_served(self._path):
+            log.warning("successor_unreachable", reason=reason)
+            self._predecessor_handler.lose_successor()
+        else:
+            log.warning("handover_taken_back", reason=reason)
+            self._predecessor_handler.take_back()
+            self.listen()
+
+    def _take_back_unsent(self, ended_channel: Channel | None) -> None:
         """Serve the connections that were not sent to the other process: only this process has them."""
-        for message, sockets in channel.take_unsent() if channel else ():
+        for message, sockets in ended_channel.take_unsent() if ended_channel else ():
             if message.kind == "connections":
                 self.handle_common(message, sockets)
             else:
@@ -363,6 +383,8 @@
 class HandoverTarget(HandoverLink):
     """The hand-over in the new process, before and after it serves."""
 
+    other_is_successor = False
+
     def __init__(self) -> None:
         """Start without an offer; ``handler`` must be set before ``commit``."""
         super().__init__(NullHandler())
@@ -480,5 +502,6 @@
                 ChannelClosedError(f"the serving process closed the channel: {reason}"))
         elif self._serving:
             log.info("predecessor_ended", reason=reason)
-        self.settle_after_end()
+        self.settle_all_forwarded()
+        self.handler.predecessor_ended()
         self.on_channel_end()
--- a/hazellead/lifecycle/handover_roles.py
+++ b/hazellead/lifecycle/handover_roles.py
@@ -25,6 +25,16 @@
     attempts: dict[str, tuple[int, int]] = field(default_factory=dict)
     new_ids: list[str] = field(default_factory=list)
 
+    def plus(self, other: "OpenWork") -> "OpenWork":
+        """Return the work that is open in either of two processes."""
+        attempts = dict(self.attempts)
+        for uid, (sent, waiting) in other.attempts.items():
+            own_sent, own_waiting = attempts.get(uid, (0, 0))
+            attempts[uid] = own_sent + sent, own_waiting + waiting
+        return OpenWork(
+            self.client_connections + other.client_connections,
+            self.worker_connections + other.worker_connections, attempts, [*self.new_ids, *other.new_ids])
+
     def to_body(self) -> dict[str, Any]:
         """Return the body of a ``left`` message."""
         return {"connections": self.client_connections, "workers": self.worker_connections,
@@ -42,11 +52,21 @@
             message.number("connections"), message.number("workers"), attempts, message.texts("taken"))
 
 
+@dataclass(slots=True, frozen=True)
+class CallBack:
+    """A worker's report on a job; ``payload`` is the share for "running" and the result for "done"."""
+
+    identity: str
+    sender: str
+    state: str
+    payload: Any
+
+
 class HandoverHandler(Protocol):
     """Acts in either process on the messages of the other."""
 
     def handle_forwarded_call_back(
-        self, identity: str, sender: str, state: str, payload: Any,
+        self, call_back: CallBack, *, from_successor: bool,
     ) -> "asyncio.Future[int] | None":
         """Handle a call-back that reached the other process; raises MessageError if it is malformed.
 
@@ -78,8 +98,8 @@
     def read_job(self, body: Any) -> PassedJob:
         """Decode a job within this process's size limits; raises MessageError."""
 
-    def other_process_ended(self) -> None:
-        """Settle the jobs that were being passed: the other process is gone."""
+    def predecessor_ended(self) -> None:
+        """Drop the jobs that were being passed, and what was open in the old process: it is gone."""
 
 
 class PredecessorHandler(HandoverHandler, Protocol):
@@ -91,8 +111,14 @@
     def stop_accepting(self) -> dict[str, Any]:
         """Accept no more connections and jobs; return the ids of open and of ended jobs."""
 
+    def successor_ended(self) -> None:
+        """Continue with the jobs that were being passed: the successor is gone, or cannot be reached."""
+
     def take_back(self) -> None:
-        """Accept connections again: the successor is gone."""
+        """Accept connections again: the successor is gone, and no other process serves."""
+
+    def lose_successor(self) -> None:
+        """Bring only what is open to its end: another process serves, and cannot be reached."""
 
     def detach_idle(self) -> Iterable[Detached]:
         """Detach the connections that have no open job, one by one, to be passed on.
@@ -119,7 +145,7 @@
 class NullHandler:
     """Handler of a new process that cannot act yet: drops messages and refuses jobs."""
 
-    def handle_forwarded_call_back(self, identity: str, sender: str, state: str, payload: Any) -> None:
+    def handle_forwarded_call_back(self, call_back: CallBack, *, from_successor: bool) -> None:
         """Ignore the call-back."""
 
     def read_job(self, body: Any) -> PassedJob:
@@ -135,7 +161,7 @@
     def settle_reserved(self, number: int, identities: Sequence[str]) -> None:
         """Do nothing: no job is reserved."""
 
-    def other_process_ended(self) -> None:
+    def predecessor_ended(self) -> None:
         """Do nothing: no job is being passed."""
 
     def adopt(self, detached: Detached) -> None:
--- a/hazellead/lifecycle/phases.py
+++ b/hazellead/lifecycle/phases.py
@@ -24,6 +24,7 @@
         self._limits, self.phase, self._phase_began = limits, Phase.STARTING, now
         self._takes_jobs_until: datetime | None = None  # None: without end
         self.has_successor = False  # another process serves at this address
+        self.reaches_successor = False  # connections and requests can be passed on to it
 
     def _enter(self, phase: Phase, now: datetime, takes_jobs_until: datetime | None) -> bool:
         self.phase, self._phase_began, self._takes_jobs_until = phase, now, takes_jobs_until
@@ -49,12 +50,16 @@
         """Leave the address to another process."""
         if self.phase not in (Phase.READY, Phase.QUIESCED):
             return False
-        self.has_successor = True
+        self.has_successor = self.reaches_successor = True
         return self._enter(Phase.HANDED_OVER, now, None)
 
+    def lose_successor(self) -> None:
+        """Serve only what is open: another process serves at the address, and nothing can be passed to it."""
+        self.reaches_successor = False
+
     def take_back(self, now: datetime) -> bool:
         """Serve at the address again: the successor is gone. A process that is ending continues to end."""
-        changed, self.has_successor = self.has_successor, False
+        changed, self.has_successor, self.reaches_successor = self.has_successor, False, False
         if self.phase is Phase.HANDED_OVER:
             return self._enter(Phase.READY, now, None)
         return changed
@@ -86,14 +91,16 @@
         A process that is ending closes connections only once it accepts no more jobs: where schedulers
         restart one after another, clients may have no other to go to.
         """
-        if self.has_successor:  # connections are passed on
-            return False
+        if self.has_successor:
+            return not self.reaches_successor  # else connections are passed on
         if self.phase is Phase.ENDING:
             return not self.takes_jobs(now)
         return self.phase is Phase.QUIESCED
 
     def ends_idle(self, now: datetime) -> bool:
         """Return whether idle connections are to be closed."""
+        if self.has_successor:
+            return not self.reaches_successor
         if self.phase is Phase.QUIESCED:
             return now >= self._phase_began + self._limits.drain_settle
-        return self.phase is Phase.ENDING and not self.has_successor and not self.takes_jobs(now)
+        return self.phase is Phase.ENDING and not self.takes_jobs(now)
--- a/hazellead/platform/deferred_requests.py
+++ b/hazellead/platform/deferred_requests.py
@@ -46,6 +46,11 @@
             if not exchange.answer.done():  # else the client has disconnected
                 self._handle(exchange)
 
+    def refuse_all(self) -> None:
+        """Refuse all requests: the successor cannot be reached any more."""
+        for exchange in list(self._deferred_at):
+            self._expire(exchange)
+
     def _expire(self, exchange: Exchange) -> None:
         if exchange not in self:
             return
--- a/hazellead/platform/discovery.py
+++ b/hazellead/platform/discovery.py
@@ -157,20 +157,21 @@
         """Record that changes may have been missed: the list known from before the start was not watched."""
         self._lease.call_failed()
 
-    def adopt(self, answer: Any) -> None:
-        """Use another process's whole list from the same discovery, if it is newer.
+    def adopt(self, answer: Any) -> bool:
+        """Use another process's whole list from the same discovery, if it is newer; return whether it is.
 
         Raises ListError if it is malformed.
         """
         server_list, source = read_list(answer, self._numbers, self._names), self._source
         if not server_list.whole or server_list.version <= (source.index or 0):
-            return
+            return False
         log.info("server_list_adopted", version=server_list.version, previous=source.index)
         if source.version is None:
             source.known_version = server_list.version
         else:
             source.version = server_list.version
         self._apply(server_list)
+        return True
 
     def update_names(self, names: Names) -> None:
         """Use other names of zones and kinds; passes the renumbered current list to the listener.
--- a/hazellead/platform/handover.py
+++ b/hazellead/platform/handover.py
@@ -19,10 +19,11 @@
     MAX_BATCH_BYTES,
     TIMINGS,
     HandoverError,
+    HandoverLink,
     HandoverSource,
     HandoverTarget,
 )
-from hazellead.lifecycle.handover_roles import OpenWork
+from hazellead.lifecycle.handover_roles import CallBack, OpenWork
 from hazellead.lifecycle.messages import Message as HandoverMessage
 from hazellead.lifecycle.messages import MessageError
 from hazellead.lifecycle.passed_jobs import PassedJob, PendingBatch
@@ -48,9 +49,9 @@
 
     identity: str
     sock: socket.socket
-    deferred: list[tuple[tuple[str, str, str, Any], asyncio.Future[int]]] = field(default_factory=list)
+    deferred: list[tuple[CallBack, asyncio.Future[int]]] = field(default_factory=list)
 
-    def defer(self, call_back: tuple[str, str, str, Any]) -> "asyncio.Future[int]":
+    def defer(self, call_back: CallBack) -> "asyncio.Future[int]":
         """Keep a call-back until the decision; above the limit, answer 503 so that the worker repeats it."""
         answer = asyncio.get_running_loop().create_future()
         if len(self.deferred) < _MAX_DEFERRED_CALL_BACKS:
@@ -80,6 +81,13 @@
     answer.set_result(source.result())
 
 
+def _worst_status(answers: "Sequence[asyncio.Future[int]]") -> "asyncio.Future[int]":
+    """Return a future of the highest of several statuses: a worker repeats a call-back after any failure."""
+    worst, all_answers = asyncio.get_running_loop().create_future(), asyncio.gather(*answers)
+    all_answers.add_done_callback(lambda statuses: worst.set_result(max(statuses.result())))
+    return worst
+
+
 class PlatformHandover:
     """Takes over from this process's predecessor, if there is one, and later hands over to a successor."""
 
@@ -102,6 +110,8 @@
         self._paused_sockets: list[socket.socket] = []  # listening sockets on which the successor accepts now
         self._listen, self._predecessor = listen, predecessor
         self._successor = HandoverSource(config.handover, host_port(config.listen), self)
+        self._predecessor_work = OpenWork()
+        self.on_successor_lost: Callable[[], None] = lambda: None
         self._deferred = DeferredRequests(clock, request_handler.handle, request_handler.refuse)
         request_handler.defer = self._defer
         self._listening_sockets: list[socket.socket] = []
@@ -209,6 +219,18 @@
         self._paused_sockets = []
         self._deferred.handle_all()
 
+    def lose_successor(self) -> None:
+        """Bring only what is open to its end: another process serves, and cannot be reached."""
+        self._scheduler.migrates_jobs = False
+        self._life.lose_successor()
+        self._deferred.refuse_all()
+        self.on_successor_lost()
+
+    @property
+    def predecessor_open(self) -> bool:
+        """Return whether the process that this one replaced is still there, and can be reached."""
+        return self._predecessor is not None and self._predecessor.both_serve
+
     def _defer(self, exchange: Exchange) -> bool:
         """Keep a request for the successor; return False if this process has none and accepts jobs itself.
 
@@ -217,7 +239,7 @@
         if not self._life.has_successor:
             return False
         left = self._answer_by - self._clock.now() if self._answer_by else TIMINGS.request
-        if left <= timedelta(0):
+        if left <= timedelta(0) or not self._life.reaches_successor:
             self._request_handler.refuse(exchange)
         else:
             self._deferred.add(exchange, min(left, TIMINGS.request))
@@ -239,12 +261,13 @@
                 yield detached
 
     def open_work(self) -> OpenWork:
-        """Return what is still open in this process."""
+        """Return what is still open in this process and in its predecessor."""
         attempts = {
             self._watch.name(worker): counts for worker, counts in self._scheduler.open_attempts().items()}
         reported, self._reported_ids = self._reported_ids, self._scheduler.all_open_identities
-        return OpenWork(len(self._server.connections), self._workers.pool.count(), attempts,
-                        list(self._reported_ids - reported))
+        own = OpenWork(len(self._server.connections), self._workers.pool.count(), attempts,
+                       list(self._reported_ids - reported))
+        return own.plus(self._predecessor_work)
 
     def enable_job_passing(self) -> None:
         """Let jobs that would outlast this process run on, to be passed to the successor."""
@@ -310,18 +333,22 @@
     def _handle_deferred(self, jobs: Sequence[_UndecidedJob]) -> None:
         """Handle the call-backs that waited for the decision on these jobs."""
         for call_back, answer in (deferred for job in jobs for deferred in job.deferred):
-            if forwarded := self.call_back(*call_back):
+            if forwarded := self._handle_call_back(call_back, (self._predecessor, self._successor)):
                 forwarded.add_done_callback(partial(_copy_result, answer))
             else:
                 answer.set_result(200)
 
-    def other_process_ended(self) -> None:
-        """Continue with the parked jobs and drop the reserved ones: the other process is gone."""
+    def successor_ended(self) -> None:
+        """Continue with the parked jobs: the successor is gone, or cannot be reached."""
         self.settle_parked((), refused=False)
-        self.settle_reserved(self._reserved.number, ())
-        self._scheduler.note_elsewhere_ended()
         if self._passed_ids:
             log.info("jobs_passed_on", count=len(self._passed_ids), refused=len(self._refused))
+
+    def predecessor_ended(self) -> None:
+        """Drop the reserved jobs, and what was open in the old process: it is gone."""
+        self.settle_reserved(self._reserved.number, ())
+        self._scheduler.note_elsewhere_ended()
+        self.set_other_open_work(OpenWork())
         if self._jobs_taken_over:
             log.info("jobs_taken_over", count=self._jobs_taken_over)
             self._jobs_taken_over = 0
@@ -348,7 +375,7 @@
         return list(reserved)
 
     def _refusal_reason(self, passed: PassedJob, already_reserved: int) -> str:
-        if self._life.phase not in (Phase.READY, Phase.QUIESCED):
+        if not self._continues_jobs():
             return f"it is {self._life.phase.value}"
         if len(self._server.connections) + already_reserved >= self._server.limits.client_connections:
             return "no room for its connection"
@@ -358,6 +385,15 @@
             return str(error)
         return ""
 
+    def _continues_jobs(self) -> bool:
+        """Return whether a job that is taken over now can be continued, here or by the successor."""
+        if not self._life.has_successor:
+            return self._life.phase in (Phase.READY, Phase.QUIESCED)
+        if not self._scheduler.migrates_jobs:
+            return False
+        # This process decides on the job, and then its successor does.
+        return self._answer_by is None or self._clock.now() + 2 * TIMINGS.job_decision < self._answer_by
+
     def settle_reserved(self, number: int, identities: Sequence[str]) -> None:
         """Continue with these jobs of an offered batch; the others stay with the other process."""
         taken, left = self._reserved.settle(number, identities)
@@ -396,11 +432,15 @@
         return {"told": told, "discovery": host_port(self._watch.address)}
 
     def adopt_server_list(self, body: dict[str, Any]) -> None:
-        """Use the other process's list of servers if it is newer and comes from the same discovery."""
+        """Use the other process's list of servers if it is newer and comes from the same discovery.
+
+        It is passed on, since a third process may be linked to this one.
+        """
         if not self._is_of_same_discovery(body):
             return
         try:
-            self._watch.adopt(body.get("told"))
+            if self._watch.adopt(body.get("told")):
+                self._share_server_list()
         except ListError as error:
             log.warning("handover_incomplete", reason=str(error))
 
@@ -415,38 +455,45 @@
                 link.share_server_list()
 
     def call_back(self, identity: str, sender: str, state: str, payload: Any) -> "asyncio.Future[int] | None":
-        """Handle a call-back here, or forward it to the other process if that may own the job.
+        """Handle a worker's call-back here, or forward it to the other processes if they may own the job.
 
         The future yields the status to answer with; None means 200 at once.
         """
-        if undecided := self._undecided(identity):
-            return undecided.defer((identity, sender, state, payload))
-        if not self._workers.awaits(identity, sender):
-            for link in (self._predecessor, self._successor):
-                if link and (forwarded := link.forward_call_back(identity, sender, state, payload)):
-                    return forwarded
-        self._workers.call_back(identity, sender, state, payload)
-        return None
-
-    def _undecided(self, identity: str) -> _UndecidedJob | None:
-        return self._parked.jobs.get(identity) or self._reserved.jobs.get(identity)
+        call_back = CallBack(identity, sender, state, payload)
+        return self._handle_call_back(call_back, (self._predecessor, self._successor))
 
     def handle_forwarded_call_back(
-        self, identity: str, sender: str, state: str, payload: Any,
+        self, call_back: CallBack, *, from_successor: bool,
     ) -> "asyncio.Future[int] | None":
-        """Handle a call-back that reached the other process; raises MessageError if it is malformed.
+        """Handle a call-back that reached another process; raises MessageError if it is malformed.
 
-        If its job was passed to the other process in the meantime, the call-back is forwarded there again.
+        It is forwarded away from its sender, where there may be a third process.
         """
-        if problem := callback_error(state, payload):
+        if problem := callback_error(call_back.state, call_back.payload):
             raise MessageError(problem)
-        if undecided := self._undecided(identity):
-            return undecided.defer((identity, sender, state, payload))
-        if identity in self._passed_ids:
-            return self._successor.forward_call_back(identity, sender, state, payload)
-        self._workers.call_back(identity, sender, state, payload)
+        return self._handle_call_back(
+            call_back, (self._predecessor if from_successor else self._successor,))
+
+    def _handle_call_back(
+        self, call_back: CallBack, others: Sequence[HandoverLink | None],
+    ) -> "asyncio.Future[int] | None":
+        """Handle a call-back here, or forward it to the ``others`` if no attempt here waits for it."""
+        if undecided := self._undecided(call_back.identity):
+            return undecided.defer(call_back)
+        if call_back.identity in self._passed_ids:
+            others = (self._successor,)  # even if that has forwarded it: the job was passed in the meantime
+        elif self._workers.awaits(call_back.identity, call_back.sender):
+            others = ()
+        answers = [answer for link in others if link and (answer := link.forward_call_back(call_back))]
+        if answers:
+            return answers[0] if len(answers) == 1 else _worst_status(answers)
+        self._workers.call_back(
+            call_back.identity, call_back.sender, call_back.state, call_back.payload)
         return None
 
+    def _undecided(self, identity: str) -> _UndecidedJob | None:
+        return self._parked.jobs.get(identity) or self._reserved.jobs.get(identity)
+
     def adopt(self, detached: Detached) -> None:
         """Serve a connection that was passed on, or that this process has detached and keeps."""
         try:
@@ -456,10 +503,11 @@
                 detached.sock.close()
 
     def set_other_open_work(self, open_work: OpenWork) -> None:
-        """Count the other process's connections and attempts here too: the limits hold for both together.
+        """Count the predecessor's connections and attempts here too: the limits hold for both together.
 
-        The ids that the other process has accepted are remembered as used.
+        The ids that it has accepted are remembered as used.
         """
+        self._predecessor_work = replace(open_work, new_ids=[])
         self._server.connections_elsewhere, self._workers.pool.connections_elsewhere = (
             open_work.client_connections, open_work.worker_connections)
         numbered = ((self._watch.number(uid), counts) for uid, counts in open_work.attempts.items())
