Settings without tenants have one unnamed tenant, and a fault with one job keeps no other

Cause: a job that is passed on carries its tenant's name; without tenants there was no row to read it from. The job had been marked as parked before the IndexError, so that neither process answered it, and the error ended the loop that passes on the other jobs.

Change: a generation always has a tenant; without tenants it is one with no name, from which clients' jobs take their number. A job is parked only once it is described. A fault with one job is logged, and that job is answered here; a fault in one round ends that round only.

Why this works: number and row now come from one place. The number 0 that was used instead also meant a removed tenant, with a share of 10^-9, where a job or a reload brought one in.

--- a/hazellead/core/generations.py
+++ b/hazellead/core/generations.py
@@ -12,6 +12,8 @@
 MAX_NUMBERS = 256  # of classes, and of tenants, removed ones included
 GONE_PORTION = 1e-9  # of a tenant that was removed from the settings; 0 would mean an equal portion
 
+NO_TENANT = ""  # name of the tenant of all jobs where the settings define none
+
 
 class TooManyError(ValueError):
     """Open jobs and removed tenants need more than MAX_NUMBERS numbers."""
@@ -26,7 +28,7 @@
     class_rows: tuple[tuple[str, api.JobClass], ...]  # name and rules by class number
     tenant_rows: tuple[tuple[str, api.Tenant], ...]  # name and rules by tenant number
     class_ids: tuple[int, ...]  # class numbers, in the order of the settings
-    tenant_ids: tuple[int, ...]
+    tenant_ids: tuple[int, ...]  # never empty
     new_classes: frozenset[int] = frozenset()  # class numbers that are new or now mean another class
 
 
@@ -105,6 +107,9 @@
 
 
 def _tenant_rows(settings: api.Settings, names: Sequence[str]) -> list[tuple[str, api.Tenant]]:
+    """Pair each tenant's name with its share; without tenants all jobs belong to one that has no name."""
+    if not settings.tenants:
+        return [(NO_TENANT, api.Tenant(1.0))]
     return [(names[i] if i < len(names) else f"#{i}", tenant) for i, tenant in enumerate(settings.tenants)]
 
 
--- a/hazellead/core/migration.py
+++ b/hazellead/core/migration.py
@@ -85,12 +85,13 @@
                 map(self._transport.accepted_by_worker, open_attempts)):
             return None
         now, generation = self._clock.now(), self._scheduler.generation
-        self._scheduler.set_parked(number, parked=True)
-        return OpenJob(
+        open_job = OpenJob(
             job, generation.class_rows[job.job_class][1], generation.tenant_rows[job.tenant][0],
             deadline - now, tuple(OpenAttempt(
                 self._name(a.worker), now - a.sent, a.until - now,
                 now - a.began_at if a.began_at else None, a.outcome) for a in attempts))
+        self._scheduler.set_parked(number, parked=True)
+        return open_job
 
     def resume(self, number: int) -> None:
         """Resume a parked job that the other process does not take over."""
--- a/hazellead/gearman/clients.py
+++ b/hazellead/gearman/clients.py
@@ -68,7 +68,7 @@
         if not is_new:
             return
         generation = self._scheduler.generation
-        tenant = generation.tenant_ids[function.tenant] if generation.tenant_ids else 0
+        tenant = generation.tenant_ids[function.tenant]
         job = Job(uuid.uuid4().hex, f"/{function.class_name}", data, generation.class_ids[function.job_class],
                   tenant, function.deadline, function=function.name, unique=unique.decode("latin-1"),
                   class_name=function.class_name)
--- a/hazellead/lifecycle/handover.py
+++ b/hazellead/lifecycle/handover.py
@@ -273,11 +273,12 @@
 
     def _pass_on_repeatedly(self) -> None:
         if self._step is _Step.SUCCEEDED and self.channel:
+            # First: a fault in one round must not end the others.
+            asyncio.get_running_loop().call_later(
+                TIMINGS.pass_on_interval.total_seconds(), self._pass_on_repeatedly)
             self._send("left", **self._predecessor_handler.open_work().to_body())
             self._pass_connections()
             self._offer_jobs()
-            asyncio.get_running_loop().call_later(
-                TIMINGS.pass_on_interval.total_seconds(), self._pass_on_repeatedly)
 
     def _offer_jobs(self) -> None:
         """Offer one batch of open jobs at a time: this bounds the parked jobs and the unread messages."""
--- a/hazellead/platform/clients.py
+++ b/hazellead/platform/clients.py
@@ -146,7 +146,7 @@
         if tenant_index < 0:
             raise BadRequestError(400, "X-Customer is missing or unknown")
         job_class = self._scheduler.generation.class_ids[class_index]
-        tenant = self._scheduler.generation.tenant_ids[tenant_index] if self.names.tenants else 0
+        tenant = self._scheduler.generation.tenant_ids[tenant_index]
         expires_in = headers.get("x-expires-in")
         deadline = from_us(self._scheduler.settings.classes[job_class].deadline_us)
         remaining = deadline if expires_in is None else parse_span(expires_in)
--- a/hazellead/platform/handover.py
+++ b/hazellead/platform/handover.py
@@ -29,7 +29,7 @@
 from hazellead.lifecycle.passed_jobs import PassedJob, PendingBatch
 from hazellead.lifecycle.phases import LifeCycle, Phase
 from hazellead.net.http import Message
-from hazellead.net.server import Detached, Exchange, HttpServer
+from hazellead.net.server import Connection, Detached, Exchange, HttpServer
 from hazellead.platform.clients import HttpRequestHandler, Reply
 from hazellead.platform.config import Config, host_port
 from hazellead.platform.deferred_requests import DeferredRequests
@@ -77,6 +77,15 @@
     offered_at: datetime | None = None
 
 
+@dataclass(slots=True, frozen=True)
+class _Offer:
+    """A job that is offered to the successor, with a copy of its connection, and what is kept here."""
+
+    passed: PassedJob
+    sock: socket.socket
+    parked: _ParkedJob
+
+
 def _copy_result(answer: "asyncio.Future[int]", source: "asyncio.Future[int]") -> None:
     answer.set_result(source.result())
 
@@ -283,30 +292,45 @@
         Returns none once the successor's decision might come too late. Jobs that can be answered before the
         end stay here: passing them gains nothing.
         """
-        batch, parked = list[tuple[PassedJob, socket.socket]](), dict[str, _ParkedJob]()
+        offers = list[_Offer]()
         if self._answer_by is None or self._clock.now() + TIMINGS.job_decision >= self._answer_by:
-            return batch
+            return []
         size = 0
         for connection in list(self._server.connections):
-            if len(batch) == limit or size > MAX_BATCH_BYTES:
+            if len(offers) == limit or size > MAX_BATCH_BYTES:
                 break
-            if (exchange := connection.exchange) is None or (number := exchange.job) is None:
-                continue
-            if number in self._refused or (job := self._migration.park(number, self._answer_by)) is None:
-                continue
-            copy = None
-            if detached := connection.detach_with_job():
-                with suppress(OSError):  # out of descriptors: the job is offered again later
-                    copy = detached.sock.dup()
-            if detached is None or copy is None:
-                self._unpark(number, detached)
-                continue
-            identity, size = job.job.identity, size + len(job.job.body) + len(detached.read)
-            parked[identity] = _ParkedJob(identity, detached.sock, number=number, connection=detached)
-            batch.append((PassedJob(job, detached.read, exchange.message.keep, detached.proven), copy))
-        if batch:
-            self._parked.start(parked)
-        return batch
+            if offer := self._park(connection, self._answer_by):
+                offers.append(offer)
+                size += len(offer.passed.job.job.body) + len(offer.passed.received)
+        if offers:
+            self._parked.start({offer.parked.identity: offer.parked for offer in offers})
+        return [(offer.passed, offer.sock) for offer in offers]
+
+    def _park(self, connection: Connection, after: datetime) -> _Offer | None:
+        """Park the job of a connection if it can be passed on and would not be answered by ``after``."""
+        if (exchange := connection.exchange) is None or (number := exchange.job) is None:
+            return None
+        if number in self._refused:
+            return None
+        try:
+            job = self._migration.park(number, after)
+        except Exception:
+            # Guards open requests: after a fault with one job it and the others must still be answered.
+            log.exception("passing_fault", job=number)
+            self._refused.add(number)
+            return None
+        if job is None:
+            return None
+        copy = None
+        if detached := connection.detach_with_job():
+            with suppress(OSError):  # out of descriptors: the job is offered again later
+                copy = detached.sock.dup()
+        if detached is None or copy is None:
+            self._unpark(number, detached)
+            return None
+        return _Offer(
+            PassedJob(job, detached.read, exchange.message.keep, detached.proven), copy,
+            _ParkedJob(job.job.identity, detached.sock, number=number, connection=detached))
 
     def _unpark(self, number: int, connection: Detached | None) -> None:
         """Continue with a parked job here, on its client's connection if that was detached."""
--- a/tests/test_generations.py
+++ b/tests/test_generations.py
@@ -33,6 +33,7 @@
         self.now = generations.initial(
             api.Settings((KINDS[0],), (api.Tenant(0.5, 10),), max_attempts=3), ["post"], ["a"])
         self.names, self.open_jobs = ["post"], list[tuple[int, int, api.JobClass, int]]()
+        self.portions = {"a": 0.5, "b": 0.5, "c": 0.5, generations.NO_TENANT: 1.0}
         self.dispatcher = Dispatcher(self.now.settings, 1)
         self.clock = 0
 
@@ -53,7 +54,7 @@
 
     @rule(names=st.lists(st.sampled_from(["post", "refund", "x", "y"]), min_size=1, unique=True),
           kinds=st.lists(st.sampled_from(KINDS), min_size=4, max_size=4), attempts=st.integers(1, 3),
-          tenants=st.lists(st.sampled_from(TENANTS), min_size=1, unique=True))
+          tenants=st.lists(st.sampled_from(TENANTS), unique=True))  # a site may define none
     def reload(self, names: list[str], kinds: list[api.JobClass], attempts: int, tenants: list[str]) -> None:
         before = self.now
         settings = api.Settings(tuple(kinds[:len(names)]), tuple(api.Tenant(0.5, 10) for _ in tenants),
@@ -69,9 +70,11 @@
             assert replace(rules, max_attempts=0, alone=False) == kind
             assert (number in self.now.new_classes) == (
                 number >= len(before.class_rows) or before.class_rows[number] != self.now.class_rows[number])
-        assert len(set(self.now.class_ids)) == len(names) and len(set(self.now.tenant_ids)) == len(tenants)
-        for name, number in zip(tenants, self.now.tenant_ids, strict=True):
-            assert self.now.tenant_rows[number][0] == name
+        expected = tenants or [generations.NO_TENANT]
+        assert len(set(self.now.class_ids)) == len(names) and len(set(self.now.tenant_ids)) == len(expected)
+        for name, number in zip(expected, self.now.tenant_ids, strict=True):
+            assert self.now.tenant_rows[number] == (
+                name, api.Tenant(self.portions[name], 10 if tenants else 0))
         self.clock += 4000
         self.dispatcher.handle(self.clock, [api.SettingsChanged(self.now.settings, self.now.new_classes)])
 
@@ -80,7 +83,8 @@
         for number, tenant, kind, attempts in self.open_jobs:
             assert self.now.settings.classes[number] == kind
             assert self.now.settings.attempt_limit(number) == attempts
-            assert self.now.settings.tenants[tenant].portion == 0.5
+            portion = self.now.settings.tenants[tenant].portion
+            assert portion == self.portions[self.now.tenant_rows[tenant][0]]
         shares = [t.share for t in self.dispatcher.tenants]
         assert len(shares) == len(self.now.tenant_rows) and abs(sum(shares) - 1) < 1e-9 and min(shares) > 0
         assert len(self.dispatcher.class_run_us) == len(self.now.class_rows)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -40,7 +40,8 @@
 
 @asynccontextmanager
 async def program(
-    folder: Path, port: int, *workers: HttpWorker, descriptors: int = 0, **more: Any,
+    folder: Path, port: int, *workers: HttpWorker, descriptors: int = 0,
+    command: tuple[str, ...] = ("-m", "hazellead"), **more: Any,
 ) -> Any:
     folder.mkdir(exist_ok=True)
     (folder / "config.json").write_text(json.dumps(platform_config(port, *workers) | more))
@@ -52,7 +53,7 @@
             resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
 
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "hazellead", cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE,
+        sys.executable, *command, cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE,
         preexec_fn=limit_descriptors)
     try:
         assert process.stderr
