A passed job that cannot be continued after the decision is answered as failed

What callers saw: where jobs that are passed to a new process bring in more classes or tenants than can be numbered between offer and decision, a client's connection was closed without an answer.

Cause: the refusal at that point closed the client's connection instead of answering; the old process has forgotten the job by then.

Change: the connection is served on and the job answered with 502: it may have run.

--- a/hazellead/platform/handover.py
+++ b/hazellead/platform/handover.py
@@ -422,24 +422,28 @@
         """Continue with these jobs of an offered batch; the others stay with the other process."""
         taken, left = self._reserved.settle(number, identities)
         for job in taken:
-            assert job.passed and job.offered_at
-            # The answer needs only the target and keep-alive of the original request.
-            start_line = "POST", job.passed.job.job.target, "HTTP/1.1"
-            exchange = Exchange(Message(start_line, {}, b"", job.passed.keep_alive))
-            since_offer = self._clock.now() - job.offered_at
-            try:
-                number_here = self._migration.take_over(job.passed.job, Reply(exchange), since_offer)
-            except MigrationRefusedError as error:  # the settings have changed since the offer
-                log.error("job_lost", job=job.identity, reason=str(error))
-                job.sock.close()
-                continue
-            self._request_handler.follow(exchange, number_here)
-            self.adopt(Detached(job.sock, job.passed.received, job.passed.proven, False, exchange))
-            self._jobs_taken_over += 1
+            self._take_over(job)
         for job in left:
             job.sock.close()
         self._handle_deferred([*taken, *left])
 
+    def _take_over(self, job: _ReservedJob) -> None:
+        """Continue with a job that this process owns now, or fail it if that is not possible."""
+        assert job.passed and job.offered_at
+        # The answer needs only the target and keep-alive of the original request.
+        start_line = "POST", job.passed.job.job.target, "HTTP/1.1"
+        exchange = Exchange(Message(start_line, {}, b"", job.passed.keep_alive))
+        since_offer, reply = self._clock.now() - job.offered_at, Reply(exchange)
+        try:
+            self._request_handler.follow(
+                exchange, self._migration.take_over(job.passed.job, reply, since_offer))
+        except MigrationRefusedError as error:  # the settings have changed since the offer
+            log.error("job_lost", job=job.identity, reason=str(error))
+            reply.failed("it could not be continued")
+        else:
+            self._jobs_taken_over += 1
+        self.adopt(Detached(job.sock, job.passed.received, job.passed.proven, False, exchange))
+
     async def close(self) -> None:
         """Send what is still to be sent to the successor and end the hand-over for good."""
         await self._successor.flush()
--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -562,3 +562,24 @@
     actions = referee.dispatcher.handle(
         referee.now + 9000, [api.AttemptEnded(1, 2, 99, api.Outcome.FULL, 9000, False)])
     assert not pushes(actions) and any(isinstance(a, api.Refuse) for a in actions)  # the third was the last
+
+
+@site_test
+async def test_a_job_that_cannot_be_continued_after_the_decision_is_answered(site: Site) -> None:
+    # Guards against: its client's connection was closed without an answer.
+    predecessor = Predecessor(site)
+    await predecessor.serve(site.start())
+    numbers_left = generations.MAX_NUMBERS - len(TENANTS)
+    for first in range(0, numbers_left + 1, 32):  # each job brings in another tenant, the last ones too many
+        pairs = [socket.socketpair() for _ in range(32)]
+        jobs = [passed_body(f"j{n}", tenant=f"t{n}") for n in range(first, first + 32)]
+        predecessor.channel.send("jobs", [passed for _, passed in pairs], number=first + 1, jobs=jobs)
+        ready = (await predecessor.next("jobs_ready"))[0].texts("ids")
+        assert len(ready) == 32
+        predecessor.channel.send("jobs_yours", number=first + 1, ids=ready)
+    for n, (client_end, _) in enumerate(pairs, start=first):
+        client_end.settimeout(5)
+        if n >= numbers_left:
+            assert (await asyncio.to_thread(client_end.recv, 4096)).startswith(b"HTTP/1.1 502 ")
+        client_end.close()
+    predecessor.close()
