A new process that was held up after the old one's commit does not serve beside it

Cause: the old process gives a successor 2 s after its commit and then accepts again. The new one, which reads the commit later, did not look whether the channel was still open.

Change: the new process looks for the end of the channel behind the commit before it serves. It then goes the way of any failed hand-over: it ends with one line, unless the old one is gone.

--- a/hazellead/lifecycle/channel.py
+++ b/hazellead/lifecycle/channel.py
@@ -57,6 +57,17 @@
         """Return whether the other side can still read what is sent."""
         return self.open and not self._peer_closed
 
+    def closed_by_peer(self) -> bool:
+        """Return whether the other side has closed the channel, even if that has not been read here yet."""
+        if not self.writable:
+            return True
+        try:
+            return not self._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def send(self, kind: str, sockets: Sequence[socket.socket] = (), **body: object) -> None:
         """Write a message now, or once the socket takes it; ``sockets`` are closed here once sent."""
         if not self.writable:
--- a/hazellead/lifecycle/handover.py
+++ b/hazellead/lifecycle/handover.py
@@ -436,6 +436,9 @@
         answer = await self._next_message(TIMINGS.commit, "its commitment")
         if answer.kind != "commit":
             raise HandoverError(f"the serving process answered {answer.kind} to ready")
+        # This process may have been held up for so long that the other one accepts again.
+        if self.channel is None or self.channel.closed_by_peer():
+            raise ChannelClosedError("the serving process closed the channel after its commit")
         self._serving = True
         return answer
 
--- a/tests/test_handover_chain.py
+++ b/tests/test_handover_chain.py
@@ -8,6 +8,7 @@
 import os
 import signal
 import socket
+import struct
 from contextlib import suppress
 from pathlib import Path
 from typing import Any
@@ -19,7 +20,8 @@
 from test_passing import CLASS_NAME, Client, OtherProcess, Predecessor, Site, passed_body, request, site_test
 
 from hazellead.lifecycle import channel
-from hazellead.lifecycle.channel import is_served
+from hazellead.lifecycle.channel import Channel, is_served
+from hazellead.lifecycle.messages import Message
 
 STAYS_MS = 3300  # of a job that is answered before its process ends: such a job is not passed on
 
@@ -247,3 +249,36 @@
     Path(path).unlink()
     Path(path).write_text("no socket")
     assert not is_served(path)
+
+
+@site_test
+async def test_a_new_process_that_was_held_up_does_not_serve_beside_the_old_one(site: Site) -> None:
+    # Guards against: it went by a commit whose sender had given it up and accepted again.
+    listening = socket.create_server(("127.0.0.1", site.port))
+    unix_listener = channel.listen_at(site.path)
+    starting = asyncio.ensure_future(site.start())
+    loop = asyncio.get_running_loop()
+    connection, _ = await loop.sock_accept(unix_listener)
+    received = asyncio.Queue[Message]()
+    other = Channel(connection, lambda message, sockets: received.put_nowait(message), lambda reason: None)
+    assert (await received.get()).kind == "hello"
+    targets: dict[str, Any] = {"rev": 0, "all": True, "targets": []}
+    other.send("offer", [listening.dup()], version=1, known={}, discovery="", told=targets)
+    ready = asyncio.ensure_future(received.get())
+    assert (await ready).kind == "ready"
+    process = peer_process(connection)
+    os.kill(process, signal.SIGSTOP)
+    other.send("commit", open=[], ended=[])
+    other.close()
+    os.kill(process, signal.SIGCONT)
+    with pytest.raises(AssertionError, match="ended before it was ready"):
+        await starting
+    unix_listener.close()
+    listening.close()
+
+
+def peer_process(connection: socket.socket) -> int:
+    """Return the id of the process at the other end of a Unix socket."""
+    credentials = connection.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, struct.calcsize("3i"))
+    process: int = struct.unpack("3i", credentials)[0]
+    return process
