A process that is cut off from the one that serves closes its listening socket

What callers would see: no new process can start ("Address already in use") after the serving one has been killed, as long as an older one that is cut off from it has open jobs.

Cause: it kept the listening socket on which it had paused, for a time at which it would accept again; there is none any more.

Change: it closes that socket when it finds that another process serves.

--- a/hazellead/platform/handover.py
+++ b/hazellead/platform/handover.py
@@ -232,6 +232,7 @@
         """Bring only what is open to its end: another process serves, and cannot be reached."""
         self._scheduler.migrates_jobs = False
         self._life.lose_successor()
+        self._close_paused_sockets()  # else nobody could listen here anew after the other process's end
         self._deferred.refuse_all()
         self.on_successor_lost()
 
@@ -448,6 +449,9 @@
         """Send what is still to be sent to the successor and end the hand-over for good."""
         await self._successor.flush()
         self._successor.close()
+        self._close_paused_sockets()
+
+    def _close_paused_sockets(self) -> None:
         for sock in self._paused_sockets:
             sock.close()
         self._paused_sockets = []
--- a/tests/test_handover_chain.py
+++ b/tests/test_handover_chain.py
@@ -282,3 +282,20 @@
     credentials = connection.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, struct.calcsize("3i"))
     process: int = struct.unpack("3i", credentials)[0]
     return process
+
+
+@site_test
+async def test_a_process_can_start_anew_where_one_that_was_cut_off_has_not_ended(site: Site) -> None:
+    # Guards against: that one kept the listening socket, at which it would never accept again.
+    first = await site.start()
+    second = await site.start()
+    third = await site.start()
+    second.kill()
+    await second.wait()
+    third.kill()  # nothing replaces it
+    await third.wait()
+    assert first.returncode is None
+    await site.start()
+    (client,) = await site.open("new")
+    await site.done("new")
+    assert await client.answer() == (200, b"r new")
