A process that takes the address back knows the ids that its successor had accepted

What callers would see: a payment that runs is posted a second time when its id is sent again after the new process of a hand-over was killed.

Cause: the new process kept the ids that it accepted to itself.

--- a/hazellead/core/scheduler.py
+++ b/hazellead/core/scheduler.py
@@ -59,6 +59,7 @@
         self._dispatcher = Dispatcher(self.settings, seed)
         self._requests: dict[int, _Request] = {}
         self._identities: set[str] = set()
+        self.on_accepted: Callable[[str], None] = lambda identity: None  # called with the id of each new job
         self._identities_elsewhere: set[str] = set()  # of requests open in another process of this scheduler
         self._ended_ids: OrderedDict[str, None] = OrderedDict()  # of recently ended requests
         self._listed: dict[int, api.WorkerEntry] = {}
@@ -171,6 +172,7 @@
             self._refuse(job, reply, self.limits.busy_retry, "the scheduler ends")
         else:
             self._accept(job, reply, max(job.remaining - self.limits.answer_margin, timedelta(0)))
+            self.on_accepted(job.identity)
         return self._last_number
 
     def _accept(
--- a/hazellead/lifecycle/handover.py
+++ b/hazellead/lifecycle/handover.py
@@ -132,7 +132,8 @@
         elif message.kind == "list":
             self.handler.adopt_server_list(message.body)
         elif message.kind == "left":
-            self.handler.set_other_open_work(OpenWork.from_message(message))
+            self.handler.set_other_open_work(
+                OpenWork.from_message(message), from_successor=self.other_is_successor)
         elif message.kind == "connections":
             try:
                 read = [base64.b64decode(text, validate=True) for text in message.texts("read")]
@@ -445,6 +446,15 @@
     def confirm_started(self) -> None:
         """Tell the other process that this one serves."""
         self._send("started")
+        self._report_ids_repeatedly()
+
+    def _report_ids_repeatedly(self) -> None:
+        """Report the ids that are accepted here: the other process may have to accept jobs again."""
+        if self.both_serve:
+            asyncio.get_running_loop().call_later(
+                TIMINGS.pass_on_interval.total_seconds(), self._report_ids_repeatedly)
+            if identities := self.handler.take_unreported_ids():
+                self._send("left", **OpenWork(new_ids=identities).to_body())
 
     async def has_ended(self) -> bool:
         """Return whether the other process has ended: one that serves listens for successors."""
--- a/hazellead/lifecycle/handover_roles.py
+++ b/hazellead/lifecycle/handover_roles.py
@@ -76,8 +76,11 @@
     def adopt(self, detached: Detached) -> None:
         """Serve a connection that the other process has passed on."""
 
-    def set_other_open_work(self, open_work: OpenWork) -> None:
-        """Count the other process's connections and attempts here too, and remember its new ids."""
+    def set_other_open_work(self, open_work: OpenWork, *, from_successor: bool) -> None:
+        """Remember the other process's new ids; count the predecessor's connections and attempts here too."""
+
+    def take_unreported_ids(self) -> list[str]:
+        """Return the ids of jobs that have been accepted since the last call, for the predecessor."""
 
     def server_list(self) -> dict[str, Any]:
         """Return this process's list of servers, as the body of a message."""
@@ -168,9 +171,13 @@
         """Close the connection."""
         detached.sock.close()
 
-    def set_other_open_work(self, open_work: OpenWork) -> None:
+    def set_other_open_work(self, open_work: OpenWork, *, from_successor: bool) -> None:
         """Ignore the report."""
 
+    def take_unreported_ids(self) -> list[str]:
+        """Return none: no job is accepted."""
+        return []
+
     def server_list(self) -> dict[str, Any]:
         """Return no list."""
         return {}
--- a/hazellead/platform/handover.py
+++ b/hazellead/platform/handover.py
@@ -120,6 +120,8 @@
         self._listen, self._predecessor = listen, predecessor
         self._successor = HandoverSource(config.handover, host_port(config.listen), self)
         self._predecessor_work = OpenWork()
+        self._unreported_ids: list[str] = []  # accepted here, and not known to the predecessor
+        scheduler.on_accepted = self._note_accepted
         self.on_successor_lost: Callable[[], None] = lambda: None
         self._deferred = DeferredRequests(clock, request_handler.handle, request_handler.refuse)
         request_handler.defer = self._defer
@@ -373,7 +375,7 @@
         """Drop the reserved jobs, and what was open in the old process: it is gone."""
         self.settle_reserved(self._reserved.number, ())
         self._scheduler.note_elsewhere_ended()
-        self.set_other_open_work(OpenWork())
+        self.set_other_open_work(OpenWork(), from_successor=False)
         if self._jobs_taken_over:
             log.info("jobs_taken_over", count=self._jobs_taken_over)
             self._jobs_taken_over = 0
@@ -534,11 +536,24 @@
             with suppress(OSError):
                 detached.sock.close()
 
-    def set_other_open_work(self, open_work: OpenWork) -> None:
-        """Count the predecessor's connections and attempts here too: the limits hold for both together.
+    def take_unreported_ids(self) -> list[str]:
+        """Return the ids of jobs that have been accepted since the last call, for the predecessor."""
+        unreported, self._unreported_ids = self._unreported_ids, []
+        return unreported
 
-        The ids that it has accepted are remembered as used.
+    def _note_accepted(self, *identities: str) -> None:
+        if self.predecessor_open:
+            self._unreported_ids += identities
+
+    def set_other_open_work(self, open_work: OpenWork, *, from_successor: bool) -> None:
+        """Remember the other process's ids as used, and count the predecessor's connections and attempts.
+
+        The limits hold for both together.
         """
+        if from_successor:
+            self._scheduler.remember(open_work.new_ids)
+            self._note_accepted(*open_work.new_ids)
+            return
         self._predecessor_work = replace(open_work, new_ids=[])
         self._server.connections_elsewhere, self._workers.pool.connections_elsewhere = (
             open_work.client_connections, open_work.worker_connections)
--- a/tests/test_handover_ids.py
+++ b/tests/test_handover_ids.py
@@ -233,3 +233,42 @@
     assert {n: v for n, v in got.headers.items() if n != "content-length"} == same
     assert len(encode_received(message)) - len(body) <= len(head) + 1
     assert not again.size
+
+
+@site_test
+async def test_a_process_that_takes_the_address_back_refuses_the_ids_its_successor_accepted(
+    site: Site,
+) -> None:
+    # Guards against: the ids were gone with the successor, while the jobs ran on.
+    await site.start()
+    second = await site.start()
+    third = await site.start()
+    await site.open("a", "b")
+    await site.done("b")
+    await asyncio.sleep(0.1)  # for the report
+    third.kill()
+    await third.wait()
+    for identity in ("a", "b"):
+        client = await Client(site.port).post(identity, b"again")
+        assert await answer_status(client) == 409
+    second.kill()  # the oldest has heard of them through it
+    await second.wait()
+    for identity in ("a", "b"):
+        client = await Client(site.port).post(identity, b"again")
+        assert await answer_status(client) == 409
+    (client,) = await site.open("new")
+    await site.done("new")
+    assert await client.answer() == (200, b"r new")
+    assert set(site.postings.values()) == {1}
+
+
+@site_test
+async def test_a_new_process_reports_the_ids_that_it_accepts(site: Site) -> None:
+    predecessor, discovery = Predecessor(site), f"127.0.0.1:{free_port()}"
+    await predecessor.serve(site.start(discovery=discovery), 1, discovery)
+    await site.open("x", "y")
+    identities = list[str]()
+    while len(identities) < 2:
+        identities += (await predecessor.next("left"))[0].texts("taken")
+    assert identities == ["x", "y"]
+    predecessor.close()
