--- a/hazellead/__main__.py
+++ b/hazellead/__main__.py
@@ -112,8 +112,9 @@
             self.workers = HttpWorkers(self.watch, configuration.limits, clock)
             self.scheduler.connect(self.workers, self.watch)
         self.handover: PlatformHandover | None = None
-        self.request_handler = HttpRequestHandler(self.scheduler, configuration.names, lambda *event: (
-            self.handover or self.workers).call_back(*event), lambda: self.life.up, self.takes_jobs)
+        self.request_handler = HttpRequestHandler(
+            self.scheduler, configuration.names, self._handle_call_back, lambda: self.life.up,
+            self.takes_jobs)
         self.server = HttpServer(
             configuration.limits, clock, self.request_handler.handle,
             lambda: self.life.ends_connections(clock.now()))
@@ -167,6 +168,15 @@
         """Return whether a job that arrives now is accepted."""
         return self.life.takes_jobs(self.clock.now())
 
+    def _handle_call_back(
+        self, identity: str, sender: str, state: str, payload: Any,
+    ) -> "asyncio.Future[int] | None":
+        """Handle a worker's call-back, which may concern a job of another process."""
+        if self.handover:
+            return self.handover.jobs.call_back(identity, sender, state, payload)
+        self.workers.call_back(identity, sender, state, payload)
+        return None
+
     # Called by the console.
 
     def healthy(self) -> bool:
@@ -289,7 +299,7 @@
         self._start_drain_timer()
         answer_by = now + self.limits.shutdown_answer
         if self.handover:
-            self.handover.pass_on_jobs_outlasting(answer_by)
+            self.handover.jobs.answer_by = answer_by
         while self._passes_on() and self.clock.now() < answer_by:
             await asyncio.sleep(self.limits.drain_pause.total_seconds())  # until all are passed on or closed
         while not self.life.has_successor and self.takes_jobs():
--- a/hazellead/lifecycle/handover.py
+++ b/hazellead/lifecycle/handover.py
@@ -120,7 +120,7 @@
             number = message.number("number")
             call_back = CallBack(
                 message.text("id"), message.text("sender"), message.text("state"), message.body.get("rest"))
-            answer = self.handler.handle_forwarded_call_back(
+            answer = self.handler.jobs.handle_forwarded_call_back(
                 call_back, from_successor=self.other_is_successor)
             if answer is None:
                 self._send("answered", number=number, status=200)
@@ -288,7 +288,7 @@
             return
         if channel.unsent >= MAX_UNSENT_MESSAGES:
             return
-        if parked := self._predecessor_handler.park_jobs(MAX_DESCRIPTORS):
+        if parked := self._predecessor_handler.jobs.park_jobs(MAX_DESCRIPTORS):
             self._batch.start({p.job.job.identity: p.job.job.identity for p, _ in parked})
             number = self._batch.number
             asyncio.get_running_loop().call_later(
@@ -306,7 +306,7 @@
             return
         given_up, _ = self._batch.settle(number, ready or ())
         self._send("jobs_yours", number=number, ids=given_up)
-        self._predecessor_handler.settle_parked(given_up, refused=ready is not None)
+        self._predecessor_handler.jobs.settle_parked(given_up, refused=ready is not None)
         if ready is not None:
             self._offer_jobs()
 
@@ -496,15 +496,15 @@
                 number, jobs = message.number("number"), message.body.get("jobs")
                 if not isinstance(jobs, list) or not 0 < len(jobs) == len(sockets):
                     raise MessageError("jobs do not match their descriptors")
-                decoded = [self.handler.read_job(body) for body in jobs]
+                decoded = [self.handler.jobs.read_job(body) for body in jobs]
             except MessageError:
                 for sock in sockets:
                     sock.close()
                 raise
-            self._send("jobs_ready", number=number, ids=self.handler.reserve_jobs(
+            self._send("jobs_ready", number=number, ids=self.handler.jobs.reserve_jobs(
                 number, list(zip(decoded, sockets, strict=True))))
         elif self._serving and message.kind == "jobs_yours":
-            self.handler.settle_reserved(message.number("number"), message.texts("ids"))
+            self.handler.jobs.settle_reserved(message.number("number"), message.texts("ids"))
         elif not self._serving or not self.handle_common(message, sockets):
             for sock in sockets:
                 sock.close()
--- a/hazellead/lifecycle/handover_roles.py
+++ b/hazellead/lifecycle/handover_roles.py
@@ -62,8 +62,8 @@
     payload: Any
 
 
-class HandoverHandler(Protocol):
-    """Acts in either process on the messages of the other."""
+class JobExchange(Protocol):
+    """Takes jobs over from the predecessor, offers others to the successor, and handles their call-backs."""
 
     def handle_forwarded_call_back(
         self, call_back: CallBack, *, from_successor: bool,
@@ -73,6 +73,36 @@
         The future yields the status to answer with; None means 200 at once.
         """
 
+    def reserve_jobs(self, number: int, jobs: Sequence[tuple[PassedJob, socket.socket]]) -> list[str]:
+        """Keep a batch of jobs that the other process offers; return the ids of those that can continue here.
+
+        The sockets of jobs that cannot continue here are closed, and so are those of an earlier batch that
+        was not settled.
+        """
+
+    def settle_reserved(self, number: int, identities: Sequence[str]) -> None:
+        """Continue with these jobs of an offered batch; the others stay with the other process."""
+
+    def read_job(self, body: Any) -> PassedJob:
+        """Decode a job within this process's size limits; raises MessageError."""
+
+    def park_jobs(self, limit: int) -> list[tuple[PassedJob, socket.socket]]:
+        """Park up to ``limit`` jobs that would outlast this process; the sockets are copies."""
+
+    def settle_parked(self, identities: Sequence[str], *, refused: bool) -> None:
+        """Forget these of the parked jobs, which the successor now owns, and continue with the others.
+
+        If the successor has ``refused`` the others, they are not offered again.
+        """
+
+
+class HandoverHandler(Protocol):
+    """Acts in either process on the messages of the other."""
+
+    @property
+    def jobs(self) -> JobExchange:
+        """Return the part that acts on open jobs."""
+
     def adopt(self, detached: Detached) -> None:
         """Serve a connection that the other process has passed on."""
 
@@ -88,19 +118,6 @@
     def adopt_server_list(self, body: dict[str, Any]) -> None:
         """Use the other process's list of servers from a message's body, if there is one and it is newer."""
 
-    def reserve_jobs(self, number: int, jobs: Sequence[tuple[PassedJob, socket.socket]]) -> list[str]:
-        """Keep a batch of jobs that the other process offers; return the ids of those that can continue here.
-
-        The sockets of jobs that cannot continue here are closed, and so are those of an earlier batch that
-        was not settled.
-        """
-
-    def settle_reserved(self, number: int, identities: Sequence[str]) -> None:
-        """Continue with these jobs of an offered batch; the others stay with the other process."""
-
-    def read_job(self, body: Any) -> PassedJob:
-        """Decode a job within this process's size limits; raises MessageError."""
-
     def predecessor_ended(self) -> None:
         """Drop the jobs that were being passed, and what was open in the old process: it is gone."""
 
@@ -135,18 +152,9 @@
     def enable_job_passing(self) -> None:
         """Note that the successor can continue open jobs."""
 
-    def park_jobs(self, limit: int) -> list[tuple[PassedJob, socket.socket]]:
-        """Park up to ``limit`` jobs that would outlast this process; the sockets are copies."""
 
-    def settle_parked(self, identities: Sequence[str], *, refused: bool) -> None:
-        """Forget these of the parked jobs, which the successor now owns, and continue with the others.
-
-        If the successor has ``refused`` the others, they are not offered again.
-        """
-
-
-class NullHandler:
-    """Handler of a new process that cannot act yet: drops messages and refuses jobs."""
+class _NoJobs:
+    """Refuses jobs and drops call-backs."""
 
     def handle_forwarded_call_back(self, call_back: CallBack, *, from_successor: bool) -> None:
         """Ignore the call-back."""
@@ -164,6 +172,19 @@
     def settle_reserved(self, number: int, identities: Sequence[str]) -> None:
         """Do nothing: no job is reserved."""
 
+    def park_jobs(self, limit: int) -> list[tuple[PassedJob, socket.socket]]:
+        """Return none."""
+        return []
+
+    def settle_parked(self, identities: Sequence[str], *, refused: bool) -> None:
+        """Do nothing: no job is parked."""
+
+
+class NullHandler:
+    """Handler of a new process that cannot act yet: drops messages and refuses jobs."""
+
+    jobs: JobExchange = _NoJobs()
+
     def predecessor_ended(self) -> None:
         """Do nothing: no job is being passed."""
 
