A process that is cut off from the one that serves has foreign call-backs repeated

What callers would see: a payment that has run is reported as failed, where a call-back for a job of the serving process comes on a connection that an older process has kept, after the one between them was killed: it was answered 200 and dropped.

Cause: a process with no link to another answers 200 to call-backs for jobs that it does not know, as it must for repeats of its own.

Change: where another process serves that it cannot reach, it answers 503, and the worker repeats the call-back.

--- a/hazellead/platform/job_passing.py
+++ b/hazellead/platform/job_passing.py
@@ -76,6 +76,12 @@
     answer.set_result(source.result())
 
 
+def _settled(status: int) -> "asyncio.Future[int]":
+    answer = asyncio.get_running_loop().create_future()
+    answer.set_result(status)
+    return answer
+
+
 def _worst_status(answers: "Sequence[asyncio.Future[int]]") -> "asyncio.Future[int]":
     """Return a future of the highest of several statuses: a worker repeats a call-back after any failure."""
     worst, all_answers = asyncio.get_running_loop().create_future(), asyncio.gather(*answers)
@@ -304,6 +310,8 @@
         answers = [answer for link in others if link and (answer := link.forward_call_back(call_back))]
         if answers:
             return answers[0] if len(answers) == 1 else _worst_status(answers)
+        if others and self._life.has_successor and not self._life.reaches_successor:
+            return _settled(503)  # the worker repeats it, and this process is about to end
         self._workers.call_back(
             call_back.identity, call_back.sender, call_back.state, call_back.payload)
         return None
--- a/tests/test_handover_chain.py
+++ b/tests/test_handover_chain.py
@@ -22,6 +22,7 @@
 from hazellead.lifecycle import channel
 from hazellead.lifecycle.channel import Channel, is_served
 from hazellead.lifecycle.messages import Message
+from hazellead.net import http
 
 STAYS_MS = 3300  # of a job that is answered before its process ends: such a job is not passed on
 
@@ -118,10 +119,18 @@
     first = await site.start()
     own = await post_short(site, "own", 1500)
     own.writer.write(request("next", b"next"))
+    worker_reader, worker_writer = await asyncio.open_connection("127.0.0.1", site.port)
+    body = b'{"id":"own","from":"s-unknown","state":"done","result":""}'
+    call_back = http.request("POST", "/v1/job-events", "x", {}, body)
+    worker_writer.write(call_back[:-1])  # such a connection stays in the process that has read the head
+    await asyncio.sleep(0.1)
     second = await site.start()
     await site.start()
     second.kill()
     await second.wait()
+    # A call-back for a job that is not this process's: the worker is to repeat it where the others come.
+    worker_writer.write(call_back[-1:])
+    assert (await asyncio.wait_for(http_message(worker_reader), 2))[0].split()[1] == "503"
     for i in range(10):  # the third process alone accepts
         (client,) = await site.open(f"late{i}")
         await site.done(f"late{i}")
