--- a/hazellead/lab/soak/plan.py
+++ b/hazellead/lab/soak/plan.py
@@ -127,6 +127,7 @@
     leaving: tuple[LeaveStep, ...]
     leaves: float = 0.05  # portion of the requests whose client disconnects before the answer
     failing_calls: float = 0.0  # share of the calls to discovery that fail from ``discovery_at`` on
+    overlapping: bool = False  # a second replacement begins before the first old process has ended
     holdup: float = 0.0  # longest of the repeated pauses of the schedulers in seconds; 0: no pauses
     length: float = FAULT_PHASE_S
 
@@ -138,6 +139,8 @@
         if self.discovery is not DiscoveryTrouble.NONE:
             names.append(f"discovery {self.discovery.value}")
         names += ["calls to discovery fail"] * bool(self.failing_calls)
+        replaced_twice = any(step.signals is Signals.REPLACE_TWICE for step in self.signals)
+        names += ["overlapping replacements"] * (self.overlapping and replaced_twice)
         names += ["crowd of idle clients"] * bool(self.idle_crowd)
         return names + ["schedulers paused"] * bool(self.holdup)
 
@@ -152,7 +155,8 @@
 
     The order of the draws is fixed: a changed order gives each seed another run.
     """
-    size_rng, signal_rng, worker_rng, discovery_rng, pause_rng, calls_rng = random_generators(seed, 6)
+    (size_rng, signal_rng, worker_rng, discovery_rng, pause_rng, calls_rng,
+     overlap_rng) = random_generators(seed, 7)
     slots, workers = int(size_rng.integers(1, 4)), int(size_rng.integers(4, 9))
     crowded = bool(size_rng.random() < 0.25)
     discovery_fault = list(DiscoveryTrouble)[int(discovery_rng.integers(len(DiscoveryTrouble)))]
@@ -164,6 +168,7 @@
         _draw_signal_steps(signal_rng, length), _draw_worker_steps(worker_rng, workers, length),
         _draw_leave_steps(discovery_rng, workers, discovery_at, length),
         failing_calls=float(calls_rng.choice((0.5, 0.8, 1.0))) if calls_rng.random() < 0.4 else 0.0,
+        overlapping=bool(overlap_rng.random() < 0.5),
         holdup=MAX_PAUSE_S if pause_rng.random() < 0.3 else 0.0, length=length)
 
 
--- a/hazellead/lab/soak/runner.py
+++ b/hazellead/lab/soak/runner.py
@@ -308,12 +308,14 @@
                 await self._restart(slot)
             return
         old.send(signal.SIGTERM)
-        await old.exited
+        overlaps = self._plan.overlapping and step.signals is Signals.REPLACE_TWICE
+        await (asyncio.sleep(step.gap) if overlaps else old.exited)
         if step.signals is Signals.REPLACE_TWICE:
             third = await slot.start()
             if await third.ready():
                 new.send(signal.SIGTERM)
                 await new.exited
+        await old.exited
 
     async def _shut_down(self, slot: Slot) -> None:
         """Shut a scheduler down by SIGTERM; its clients send requests until the SIGKILL that follows."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -97,9 +97,12 @@
     assert {draw_plan(seed).discovery for seed in range(60)} == set(DiscoveryTrouble)
 
 
-def test_a_hand_over_under_load_breaks_no_rule(tmp_path: Path) -> None:
+@pytest.mark.parametrize("overlapping", [False, True])
+def test_a_hand_over_under_load_breaks_no_rule(overlapping: bool, tmp_path: Path) -> None:
     step = SignalStep(1.0, Signals.REPLACE_TWICE, Whom.ALL, 0.0)
-    plan = replace(small_plan(), slots=2, signals=(step,), trouble=(), leaving=())
+    hanging = small_plan().trouble[:2] if overlapping else ()  # so that the old process does not end at once
+    plan = replace(
+        small_plan(), slots=2, signals=(step,), trouble=hanging, leaving=(), overlapping=overlapping)
     outcome = run_plan_sync(plan, scheduler_command("-m hazellead"), tmp_path)
     assert not outcome.violations
     assert len(outcome.records.lives) == 6
