--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -97,12 +97,23 @@
     assert {draw_plan(seed).discovery for seed in range(60)} == set(DiscoveryTrouble)
 
 
-@pytest.mark.parametrize("overlapping", [False, True])
-def test_a_hand_over_under_load_breaks_no_rule(overlapping: bool, tmp_path: Path) -> None:
+def test_a_hand_over_under_load_breaks_no_rule(tmp_path: Path) -> None:
     step = SignalStep(1.0, Signals.REPLACE_TWICE, Whom.ALL, 0.0)
-    hanging = small_plan().trouble[:2] if overlapping else ()  # so that the old process does not end at once
-    plan = replace(
-        small_plan(), slots=2, signals=(step,), trouble=hanging, leaving=(), overlapping=overlapping)
+    plan = replace(small_plan(), slots=2, signals=(step,), trouble=(), leaving=())
     outcome = run_plan_sync(plan, scheduler_command("-m hazellead"), tmp_path)
     assert not outcome.violations
     assert len(outcome.records.lives) == 6
+
+
+def test_overlapping_replacements_break_no_rule_and_leave_a_process_that_can_be_replaced(
+    tmp_path: Path,
+) -> None:
+    """Guards against an old process that accepts again beside the one that serves."""
+    steps = (SignalStep(1.5, Signals.REPLACE_TWICE, Whom.ALL, 0.0),
+             SignalStep(7.0, Signals.REPLACE, Whom.ALL, 0.0))
+    hanging = tuple(WorkerStep(1.0, worker, Mode.HANGS, 2.0) for worker in (0, 1))
+    plan = replace(small_plan(), slots=2, signals=steps, trouble=hanging, leaving=(), overlapping=True,
+                   length=9.0)
+    outcome = run_plan_sync(plan, scheduler_command("-m hazellead"), tmp_path)
+    assert not outcome.violations
+    assert len(outcome.records.lives) == 8
