A new process listens for successors before the old one stops, and a start asks again

What callers would see: "Address already in use" and exit code 2, where two processes are started at once or a start falls into the moment in which another takes over or takes back.

Cause: the old process closed its listener at `started`, the new one opened its own after it had sent that. In between a further start was refused a connection, took the address for free and failed to bind. A successor that dies leaves such a moment, too.

Change: the new process listens before it says `started`; one that takes back listens first.

--- a/hazellead/core/generations.py
+++ b/hazellead/core/generations.py
@@ -11,7 +11,6 @@
 
 MAX_NUMBERS = 256  # of classes, and of tenants, removed ones included
 GONE_PORTION = 1e-9  # of a tenant that was removed from the settings; 0 would mean an equal portion
-
 NO_TENANT = ""  # name of the tenant of all jobs where the settings define none
 
 
--- a/hazellead/lifecycle/handover.py
+++ b/hazellead/lifecycle/handover.py
@@ -183,7 +183,9 @@
         return self.open and self._step is _Step.SUCCEEDED
 
     def listen(self) -> None:
-        """Listen for successors; if that fails, log it and continue without hand-over."""
+        """Listen for successors, if not yet; if that fails, log it and continue without hand-over."""
+        if self._socket:
+            return
         try:
             self._socket = channel.listen_at(self._path)
         except OSError as error:
@@ -361,8 +363,8 @@
             self._predecessor_handler.lose_successor()
         else:
             log.warning("handover_taken_back", reason=reason)
-            self._predecessor_handler.take_back()
             self.listen()
+            self._predecessor_handler.take_back()
 
     def _take_back_unsent(self, ended_channel: Channel | None) -> None:
         """Serve the connections that were not sent to the other process: only this process has them."""
@@ -402,10 +404,12 @@
         """Return whether this process serves while the other is still there."""
         return self.open and self._serving
 
-    async def request_offer(self, path: str, listen: str) -> bool:
+    async def request_offer(self, path: str, listen: str, address_in_use: Callable[[], bool]) -> bool:
         """Ask the process that serves ``listen`` for its offer; False if none answers at ``path``.
 
-        Raises HandoverError if the serving process refuses to be replaced.
+        Nobody answers for a moment while one process replaces another, or takes the address back: as long as
+        the address is in use, it is asked again. Raises HandoverError if the serving process refuses to be
+        replaced.
         """
         loop = asyncio.get_running_loop()
         until = loop.time() + TIMINGS.retry_limit.total_seconds()
@@ -413,8 +417,11 @@
         while True:
             try:
                 sock = await channel.connect(path, TIMINGS.connect.total_seconds())
-            except OSError:
-                return False  # no such file, nobody listens at it, or no Unix sockets on this system
+            except OSError:  # no such file, nobody listens at it, or no Unix sockets on this system
+                if loop.time() > until or not address_in_use():
+                    return False
+                await asyncio.sleep(TIMINGS.retry_interval.total_seconds())
+                continue
             self.channel = Channel(sock, self._on_message, self._on_channel_end)
             self._send(
                 "hello", version=PROTOCOL_VERSION, listen=listen, takes_jobs=True, adopts_lists=True)
--- a/hazellead/net/accept.py
+++ b/hazellead/net/accept.py
@@ -1,6 +1,7 @@
 """A listener that accepts connections one by one and pauses while no file descriptor is left."""
 
 import asyncio
+import errno
 import socket
 from collections.abc import Coroutine, Iterable
 from datetime import timedelta
@@ -8,6 +9,7 @@
 
 import structlog
 from tornado.ioloop import IOLoop
+from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
 
 from hazellead.limits import Limits
@@ -86,3 +88,13 @@
         self._handlers[sock.fileno()]()
         timer = loop.call_later(self.limits.accept_pause / timedelta(seconds=1), self._start_accepting, sock)
         self._handlers[sock.fileno()] = lambda: loop.remove_timeout(timer)  # if stopped during the pause
+
+
+def is_in_use(address: tuple[str, int]) -> bool:
+    """Return whether another socket listens at an address, so that nothing can be bound to it."""
+    try:
+        for sock in bind_sockets(address[1], address[0]):
+            sock.close()
+    except OSError as error:
+        return error.errno == errno.EADDRINUSE
+    return False
--- a/hazellead/platform/handover.py
+++ b/hazellead/platform/handover.py
@@ -17,6 +17,7 @@
 from hazellead.lifecycle.messages import Message as HandoverMessage
 from hazellead.lifecycle.messages import MessageError
 from hazellead.lifecycle.phases import LifeCycle, Phase
+from hazellead.net.accept import is_in_use
 from hazellead.net.server import Detached, Exchange, HttpServer
 from hazellead.platform.clients import HttpRequestHandler
 from hazellead.platform.config import Config, host_port
@@ -97,6 +98,7 @@
             return
         self._listening_sockets = self._predecessor.sockets
         self._server.add_sockets(self._listening_sockets)
+        self._successor.listen()  # first: with ``started`` the predecessor stops listening there
         self._predecessor.confirm_started()
         log.info("took_over")
 
@@ -306,7 +308,8 @@
     """
     predecessor = HandoverTarget()
     try:
-        if not await predecessor.request_offer(path, host_port(config.listen)):
+        if not await predecessor.request_offer(
+                path, host_port(config.listen), lambda: is_in_use(config.listen)):
             return config, None
     except (HandoverError, MessageError) as error:
         log.warning("handover_refused", reason=str(error))
--- a/tests/test_handover_chain.py
+++ b/tests/test_handover_chain.py
@@ -308,3 +308,48 @@
     (client,) = await site.open("new")
     await site.done("new")
     assert await client.answer() == (200, b"r new")
+
+
+@site_test
+async def test_a_start_in_the_moment_in_which_nobody_listens_for_successors_waits_for_it(site: Site) -> None:
+    # Guards against: "Address already in use", where two processes were started at once or one took over.
+    old = await site.start()
+    os.rename(site.path, f"{site.path}.aside")
+    channel.listen_at(site.path).close()  # as after the end of a process that listened there
+    starting = asyncio.ensure_future(site.start())
+    await asyncio.sleep(1)
+    os.rename(f"{site.path}.aside", site.path)
+    await starting
+    (client,) = await site.open("new")
+    old.send_signal(signal.SIGTERM)
+    assert await exit_code(old) == 0
+    await site.done("new")
+    assert await client.answer() == (200, b"r new")
+
+
+@site_test
+async def test_a_new_process_listens_for_successors_before_the_old_one_stops(site: Site) -> None:
+    # Guards against: a moment without a listener, in which another start fails.
+    listening = socket.create_server(("127.0.0.1", site.port))
+    unix_listener = channel.listen_at(site.path)
+    served_at_started = list[bool]()
+
+    def handle(message: Message, _: list[socket.socket]) -> None:
+        if message.kind == "hello":
+            targets: dict[str, Any] = {"rev": 0, "all": True, "targets": []}
+            other.send("offer", [listening.dup()], version=1, known={}, discovery="", told=targets)
+        elif message.kind == "ready":
+            other.send("commit", open=[], ended=[])
+        elif message.kind == "started":
+            served_at_started.append(os.path.exists(site.path) and is_served(site.path))
+
+    starting = asyncio.ensure_future(site.start())
+    connection, _ = await asyncio.get_running_loop().sock_accept(unix_listener)
+    unix_listener.close()
+    os.unlink(site.path)
+    other = Channel(connection, handle, lambda reason: None)
+    await starting
+    await until(lambda: served_at_started)
+    assert served_at_started == [True]
+    other.close()
+    listening.close()
