A SIGHUP does not change the exit code of a start that fails

What callers would see: exit code -1 in place of 2 after an unusable configuration.

Cause: signals were blocked at the end of a regular run only; closing the loop after a failed start sets SIGHUP to its default action.

Change: they are blocked however serving ends.

--- a/hazellead/__main__.py
+++ b/hazellead/__main__.py
@@ -340,6 +340,14 @@
 
     ``early_signals`` has the SIGHUPs that came before this call; they cause one reload after the start.
     """
+    try:
+        await _serve(operator_file, early_signals)
+    finally:
+        # A signal that arrives, perhaps again, while the interpreter exits must not change the exit code.
+        signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, signal.SIGTERM, signal.SIGINT})
+
+
+async def _serve(operator_file: str | None, early_signals: list[int]) -> None:
     loop, terminated, interrupted = asyncio.get_running_loop(), asyncio.Event(), asyncio.Event()
 
     def request_end() -> None:
@@ -379,8 +387,6 @@
         reload()
     await terminated.wait()
     await program.stop()
-    # A signal that arrives, perhaps again, while the interpreter exits must not change the exit code.
-    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, signal.SIGTERM, signal.SIGINT})
 
 
 def main() -> int:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -611,3 +611,17 @@
             server.close()
 
     run(case())
+
+
+def test_signals_do_not_change_the_exit_code_of_a_start_that_fails(tmp_path: Path) -> None:
+    """Guards against death by SIGHUP in place of exit code 2, between the end of the loop and the exit."""
+    config = tmp_path / "config.json"
+    config.write_text("")
+    for _ in range(4):
+        process = subprocess.Popen(
+            [sys.executable, "-m", "hazellead"], cwd=ROOT, env={"GW_CONFIG": str(config)},
+            stderr=subprocess.DEVNULL, preexec_fn=lambda: signal.signal(signal.SIGHUP, signal.SIG_IGN))
+        while process.poll() is None:
+            process.send_signal(signal.SIGHUP)
+            time.sleep(0.0005)
+        assert process.returncode == 2
