--- a/hazellead/lab/soak/processes.py
+++ b/hazellead/lab/soak/processes.py
@@ -121,12 +121,14 @@
         return [process for process in self.processes if process.alive]
 
     def configure(self, console: int, *, extra_class: bool = False) -> None:
-        """Write the configuration for the next start or SIGHUP."""
-        self._config_file.write_text(json.dumps({
+        """Write the configuration for the next start or SIGHUP, whole: a process may just be reading it."""
+        new_file = self._config_file.with_suffix(".new")
+        new_file.write_text(json.dumps({
             "name": self.name, "listen": f"{HOST}:{self.port}", "console": f"{HOST}:{console}",
             "discovery": f"{HOST}:{self.discovery}", "seed": f"{self.number + 1:x}",
             "limits": {"sockets": self.sockets, "memory_mb": 64},
             "settings": scheduler_settings(self.number, self._slots, extra_class=extra_class)}))
+        new_file.replace(self._config_file)
 
     async def start(self) -> Process:
         """Start a process, as a successor if one is still running."""
