Tests of hand-overs close the connections that they open

The garbage collector closed them later, each with a RuntimeError out of StreamWriter.__del__ ('Event loop is closed'). Where that happened inside ast.parse, Python 3.11.6 raised SystemError: test_http.py failed, or pytest ended with an internal error.

Client registers its connection and site_test closes all of them; the fake worker closes a connection when it ends or is cancelled.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -233,9 +233,12 @@
 ) -> tuple[int, dict[str, str], bytes]:
     """Send a POST request on a new connection; return the answer's status, headers and body."""
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    writer.write(f"POST {target} HTTP/1.1\r\n{headers}Content-Length: {len(body)}\r\n\r\n".encode() + body)
-    first, got, answer = await http_message(reader)
-    writer.close()
+    try:
+        writer.write(
+            f"POST {target} HTTP/1.1\r\n{headers}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+        first, got, answer = await http_message(reader)
+    finally:
+        writer.close()
     return int(first.split()[1]), got, answer
 
 
@@ -269,6 +272,12 @@
         return (await http_post(self.call_back_port(), "/v1/job-events", body))[0]
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            await self._answer_requests(reader, writer)
+        finally:
+            writer.close()
+
+    async def _answer_requests(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with suppress(ConnectionError, asyncio.IncompleteReadError):
             while True:
                 first, headers, body = await http_message(reader)
@@ -281,7 +290,6 @@
                 if not self.calls_back_first and self.reply:
                     writer.write(self.reply)
                 if self.reply is None:
-                    writer.close()
                     return
                 for event in self.states:
                     result = {"result": f"posted {body.decode()}"} if event["state"] == "done" else {}
--- a/tests/test_handover_chain.py
+++ b/tests/test_handover_chain.py
@@ -29,8 +29,7 @@
 
 async def post_short(site: Site, identity: str, remaining_ms: int = STAYS_MS) -> Client:
     """Open a job that stays in the process that accepts it."""
-    client = Client(site.port)
-    client.reader, client.writer = await asyncio.open_connection("127.0.0.1", site.port)
+    client = await Client(site.port).connect()
     client.writer.write(request(identity, identity.encode(), remaining_ms))
     await until(lambda: site.postings[identity.encode()])
     await asyncio.sleep(0.02)  # for its start, as in Site.open
@@ -119,18 +118,18 @@
     first = await site.start()
     own = await post_short(site, "own", 1500)
     own.writer.write(request("next", b"next"))
-    worker_reader, worker_writer = await asyncio.open_connection("127.0.0.1", site.port)
+    worker = await Client(site.port).connect()
     body = b'{"id":"own","from":"s-unknown","state":"done","result":""}'
     call_back = http.request("POST", "/v1/job-events", "x", {}, body)
-    worker_writer.write(call_back[:-1])  # such a connection stays in the process that has read the head
+    worker.writer.write(call_back[:-1])  # such a connection stays in the process that has read the head
     await asyncio.sleep(0.1)
     second = await site.start()
     await site.start()
     second.kill()
     await second.wait()
     # A call-back for a job that is not this process's: the worker is to repeat it where the others come.
-    worker_writer.write(call_back[-1:])
-    assert (await asyncio.wait_for(http_message(worker_reader), 2))[0].split()[1] == "503"
+    worker.writer.write(call_back[-1:])
+    assert (await asyncio.wait_for(http_message(worker.reader), 2))[0].split()[1] == "503"
     for i in range(10):  # the third process alone accepts
         (client,) = await site.open(f"late{i}")
         await site.done(f"late{i}")
@@ -153,10 +152,10 @@
     successor = await OtherProcess(site).take_over()
     serving = channel.listen_at(site.path)
     successor.channel.close()  # it serves on
-    reader, writer = await asyncio.open_connection("127.0.0.1", site.port)
-    writer.write(b"GET /up HTTP/1.1\r\n\r\n")
+    client = await Client(site.port).connect()
+    client.writer.write(b"GET /up HTTP/1.1\r\n\r\n")
     with pytest.raises(TimeoutError):
-        await asyncio.wait_for(http_message(reader), 0.5)
+        await asyncio.wait_for(http_message(client.reader), 0.5)
     assert os.path.exists(site.path) and is_served(site.path)
     serving.close()
     first.send_signal(signal.SIGTERM)
--- a/tests/test_handover_ids.py
+++ b/tests/test_handover_ids.py
@@ -62,16 +62,14 @@
     gaps = [0.0, 0.0, 0.001, 0.003, 0.01] * 3
     slow_clients = []
     for i in range(len(gaps)):  # their heads are read by the old process
-        client = Client(site.port)
-        client.reader, client.writer = await asyncio.open_connection("127.0.0.1", site.port)
+        client = await Client(site.port).connect()
         client.writer.write(request(f"both{i}", b"both%d" % i)[:-1])
         slow_clients.append(client)
     await asyncio.sleep(0.1)
     await site.start()
     old.send_signal(signal.SIGTERM)
     for i, gap in enumerate(gaps):
-        second = Client(site.port)
-        second.reader, second.writer = await asyncio.open_connection("127.0.0.1", site.port)
+        second = await Client(site.port).connect()
         slow_clients[i].writer.write(b"%d" % (i % 10))
         await asyncio.sleep(gap)
         second.writer.write(request(f"both{i}", b"both%d" % i))
--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -49,16 +49,32 @@
 
 
 class Client:
-    """A client with one connection of its own."""
+    """A client with one connection of its own, which ``site_test`` closes at the end of the test."""
+
+    _connected = list["Client"]()
 
     def __init__(self, port: int) -> None:
         self.port = port
 
-    async def post(self, identity: str, body: bytes, more: bytes = b"") -> "Client":
+    async def connect(self) -> "Client":
         self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.port)
+        self._connected.append(self)
+        return self
+
+    async def post(self, identity: str, body: bytes, more: bytes = b"") -> "Client":
+        await self.connect()
         self.writer.write(request(identity, body) + more)
         return self
 
+    @classmethod
+    async def close_all(cls) -> None:
+        """Close the connections, so that none is left for the garbage collector after its event loop."""
+        while cls._connected:
+            writer = cls._connected.pop().writer
+            writer.close()
+            with suppress(ConnectionError):
+                await writer.wait_closed()
+
     async def answer(self, *, ending: bool = False) -> tuple[int, bytes]:
         """Read an answer; return its status and body. Only an ``ending`` process may close the connection."""
         first, headers, body = await asyncio.wait_for(http_message(self.reader), 8)
@@ -164,7 +180,10 @@
     def test(tmp_path: Path) -> None:
         async def run_case() -> None:
             async with Site(tmp_path).running() as site:
-                await case(site)
+                try:
+                    await case(site)
+                finally:
+                    await Client.close_all()
 
         run(run_case())
 
@@ -218,8 +237,7 @@
 @site_test
 async def test_a_job_keeps_its_rules_its_attempts_and_its_deadline_under_other_settings(site: Site) -> None:
     old = await site.start()
-    returned, late = await site.open("back"), Client(site.port)
-    late.reader, late.writer = await asyncio.open_connection("127.0.0.1", site.port)
+    returned, late = await site.open("back"), await Client(site.port).connect()
     late.writer.write(request("late", b"late", 6000))
     await until(lambda: site.postings[b"late"])
     await asyncio.sleep(0.05)
