Ended connections are freed at once, not by the garbage collector

Cause: a failed read refers through its traceback to the frames that awaited it, and these to the connection: a cycle that kept the connection and its request until the collector came. The same held for connections to workers that fail, and for every Gearman connection with its sessions.

release_failure drops those tracebacks when a connection has ended; frames give up the futures that they hold under a name; the sessions of a closed Gearman connection let go of it. Nothing is left for the collector, so memory follows the connections that are open.

--- a/hazellead/gearman/clients.py
+++ b/hazellead/gearman/clients.py
@@ -98,6 +98,10 @@
         return (name, unique) if unique else None
 
 
+def _discard(number: Type, *args: bytes) -> None:
+    """Take the place of a closed connection: what is written to it is lost."""
+
+
 class ClientSession:
     """The state of one client connection: its option and the jobs that it waits for."""
 
@@ -148,6 +152,11 @@
     def connection_lost(self) -> None:
         """Leave the jobs of a closed connection; those that only this client waited for are given up."""
         self._submissions.client_left(self, self._awaited_jobs)
+        self._awaited_jobs = set()
+
+    def release(self) -> None:
+        """Drop the reference to the closed connection, which refers to this session."""
+        self._send = _discard
 
     def _status_args(self, gearman_job: GearmanJob | None) -> tuple[bytes, ...]:
         if gearman_job is None:
--- a/hazellead/gearman/server.py
+++ b/hazellead/gearman/server.py
@@ -15,7 +15,7 @@
 from hazellead.gearman.workers import GearmanWorkers, WorkerSession
 from hazellead.limits import Limits
 from hazellead.net.accept import Listener
-from hazellead.net.streams import alive, close_gently, within
+from hazellead.net.streams import alive, close_gently, release_failure, within
 
 log = structlog.get_logger()
 
@@ -84,6 +84,12 @@
             self.client.connection_lost()
             self._server.workers.connection_lost(self.worker)
 
+    def release(self) -> None:
+        """Free what the ended connection refers to."""
+        release_failure(self._stream, self._pending_read)
+        self.client.release()
+        self.worker.release()
+
     async def finish(self) -> None:
         """Close the connection once what was written has been sent, or after ``Limits.linger``."""
         with suppress(StreamClosedError, TimeoutError):
@@ -166,6 +172,7 @@
             await connection.run()
         finally:
             self.connections.pop(connection, None)
+            connection.release()
 
     def free_descriptor(self) -> None:
         """Close a connection that has not sent a whole packet yet."""
--- a/hazellead/gearman/workers.py
+++ b/hazellead/gearman/workers.py
@@ -31,12 +31,21 @@
         """Write a packet; return False if the connection was closed, so that no byte of it was written."""
 
 
+class _ClosedConnection:
+    """Takes the place of a connection that has been closed."""
+
+    def send(self, number: Type, *args: bytes) -> bool:
+        """Write nothing."""
+        return False
+
+
 class WorkerSession:
     """The state of one worker connection: whether it sleeps, its abilities and the jobs it is running."""
 
     def __init__(self, connection: PacketSender, workers: "GearmanWorkers") -> None:
         """Start awake, without a name and without abilities."""
-        self._connection, self._workers = connection, workers
+        self._connection: PacketSender = connection
+        self._workers = workers
         self.name = ""
         self.abilities: dict[str, timedelta | None] = {}
         self.asleep = False
@@ -124,6 +133,10 @@
             attempt.end(Outcome.RESET)
         self.running.clear()
 
+    def release(self) -> None:
+        """Drop the reference to the closed connection, which refers to this session."""
+        self._connection = _ClosedConnection()
+
 
 class GearmanWorkers:
     """The worker transport for workers that speak Gearman."""
--- a/hazellead/net/client.py
+++ b/hazellead/net/client.py
@@ -47,8 +47,7 @@
         parser = Parser(limits, responses=True)
         while True:
             try:
-                reading, self._reading = self._reading or self._begin_read(), None
-                parser.feed(await reading)
+                parser.feed(await self._read())
             except StreamClosedError:
                 if message := parser.at_end():
                     return message
@@ -59,6 +58,13 @@
                         self.close()
                     return message
 
+    async def _read(self) -> bytes:
+        reading, self._reading = self._reading or self._begin_read(), None
+        try:
+            return await reading
+        finally:
+            del reading  # a failed read refers to its traceback, and this frame is part of it
+
     def _begin_read(self) -> asyncio.Future[bytes]:
         reading = asyncio.ensure_future(self.stream.read_bytes(self._limits.read, partial=True))
         reading.add_done_callback(lambda done: done.cancelled() or done.exception())
--- a/hazellead/net/server.py
+++ b/hazellead/net/server.py
@@ -18,7 +18,7 @@
 from hazellead.limits import Limits
 from hazellead.net.accept import Listener
 from hazellead.net.http import HttpError, Message, Parser, encode_received, response
-from hazellead.net.streams import alive, close_gently
+from hazellead.net.streams import alive, close_gently, release_failure
 
 log = structlog.get_logger()
 
@@ -106,6 +106,10 @@
             if not self._stream.closed():
                 await close_gently(self._stream, self._server.limits, self._reading)
 
+    def release(self) -> None:
+        """Free what the ended connection refers to."""
+        release_failure(self._stream, self._reading)
+
     async def _message(self) -> Message | None:
         """Read the next request; returns None if the connection is to be closed between requests."""
         continued = False
@@ -379,6 +383,7 @@
             await connection.run()
         finally:
             self._forget(connection)
+            connection.release()
 
     def _make_room(self) -> bool:
         """Close one connection to make room for a new one; returns whether one was closed.
--- a/hazellead/net/streams.py
+++ b/hazellead/net/streams.py
@@ -22,8 +22,11 @@
     ``asyncio.wait_for`` (3.11) swallows a cancellation that arrives in the same step of the event loop as the
     result, so that cancelled work would go on.
     """
-    async with asyncio.timeout(span.total_seconds()):
-        return await waiting
+    try:
+        async with asyncio.timeout(span.total_seconds()):
+            return await waiting
+    finally:
+        del waiting  # a failed future refers to its traceback, and this frame is part of it
 
 
 async def connect(host: str, port: int, limits: Limits) -> IOStream:
@@ -59,6 +62,22 @@
         return False
 
 
+def release_failure(stream: IOStream, reading: "asyncio.Future[bytes] | None") -> None:
+    """Drop the tracebacks of a closed stream's errors, which its owner and the stream still refer to.
+
+    The frames in a traceback refer to the owner in turn. Such a cycle would keep all that the connection has
+    received in memory until the garbage collector looks for cycles, which may be hundreds of connections
+    later.
+    """
+    errors: list[BaseException | None] = [stream.error]
+    if reading is not None and reading.done() and not reading.cancelled():
+        errors.append(reading.exception())
+    for error in errors:
+        while error is not None:
+            error.__traceback__ = None
+            error = error.__cause__ or error.__context__
+
+
 async def close_gently(stream: IOStream, limits: Limits, reading: Awaitable[bytes] | None = None) -> None:
     """Shut down writing, read until the other side closes or ``limits.linger`` has passed, then close.
 
--- a/hazellead/platform/workers.py
+++ b/hazellead/platform/workers.py
@@ -283,9 +283,8 @@
             headers = {"X-Trace-Id": attempt.job.identity, "X-Expires-In": f"{remaining_us}u"}
             if attempt.job.idempotency_key:  # the same on every attempt: workers discard repeats by it
                 headers["Idempotency-Key"] = attempt.job.idempotency_key
-            writing = connection.stream.write(http.request(
+            await connection.stream.write(http.request(
                 "POST", attempt.job.target, f"{endpoint.host}:{endpoint.port}", headers, attempt.job.body))
-            await writing
             written = True
             attempt.written()
             message = await self._await_answer(connection, attempt, endpoint)
@@ -340,6 +339,7 @@
             raise
         finally:
             reading.cancel()
+            del reading  # a failed read refers to its traceback, and this frame is part of it
 
     async def _delete(self, endpoint: WorkerEndpoint, identity: str) -> None:
         await self._request(endpoint, "DELETE", f"/jobs/{identity}", self._limits.cancel)
