Connections that hold most give way when buffers are full

Cause: bytes behind a request in progress count towards limits.buffered, but only connections with an incomplete request were asked to make room; without one, the connection that had just been read was closed, and since it was in state NEW still, without an answer.

ByteBudget chooses among all connections by what they hold. Behind a request in progress the rest is dropped and the connection ends after the answer; an incomplete request is answered 503, and its client has time to read that.

--- a/hazellead/net/http.py
+++ b/hazellead/net/http.py
@@ -88,6 +88,11 @@
         """Add bytes read from the connection."""
         self._buffer += data
 
+    def discard(self) -> None:
+        """Drop what has been buffered of the next message."""
+        self._buffer, self._body = bytearray(), bytearray()
+        self._head, self._in_trailers = None, False
+
     def next(self) -> Message | None:
         """Return the next complete message, or None; raises HttpError if it is malformed or too large."""
         if self._head is None and not self._take_head():
--- a/hazellead/net/server.py
+++ b/hazellead/net/server.py
@@ -17,6 +17,7 @@
 from hazellead.core.clock import Clock
 from hazellead.limits import Limits
 from hazellead.net.accept import Listener
+from hazellead.net.budget import ByteBudget
 from hazellead.net.http import HttpError, Message, Parser, encode_received, response
 from hazellead.net.streams import alive, close_gently, release_failure
 
@@ -66,9 +67,9 @@
         self.exchange: Exchange | None = None  # the request being processed
         self.proven = False  # at least one valid request was received
         self.from_worker = False  # the last request was a worker's call-back
-        self.buffered_bytes = 0  # of a request that is not complete
         self._waited = timedelta(0)  # of the next request, in the process that passed this connection on
-        self._discarded_bytes = 0  # read while the parser's buffer was full
+        self._discards = False  # gave way to others: what is read is dropped
+        self._discarded_bytes = 0  # read while the parser's buffer was full or after giving way
         self.closing = self._ended = False  # to be closed after the answer; already shut down or detached
         self.state: State | None = None
         self.enter(State.NEW)
@@ -102,7 +103,8 @@
                     self.exchange.on_disconnect()
         finally:
             self.enter(State.LINGERING)
-            self._update_buffered_bytes(0)
+            self._parser.discard()
+            self._count_buffered_bytes()
             if not self._stream.closed():
                 await close_gently(self._stream, self._server.limits, self._reading)
 
@@ -128,7 +130,7 @@
             if self._ended:
                 # Prevents running a job twice: a client whose request crosses the close sends it again.
                 return None
-        self._update_buffered_bytes(self._parser.size)
+        self._count_buffered_bytes()
         if not self._parser.rest_is_plausible:
             # A Content-Length that is too small truncates the request, which must not run as if complete.
             raise HttpError(400, "bytes after the request that begin no other")
@@ -138,9 +140,9 @@
         self._reading = self._reading or self._begin_read()
         data = await self._reading
         self._reading = None
-        if not self._parser.full:
+        if not self._parser.full and not self._discards:
             self._parser.feed(data)
-            self._update_buffered_bytes(self._parser.size)
+            self._count_buffered_bytes()
             return
         # A client that sends a flood and disconnects is noticed only once all its bytes are read, so reading
         # goes on and discards them. They cross the close that follows this answer.
@@ -154,9 +156,27 @@
     def _begin_read(self) -> asyncio.Future[bytes]:
         return asyncio.ensure_future(self._stream.read_bytes(self._server.limits.read, partial=True))
 
-    def _update_buffered_bytes(self, size: int) -> None:
-        self._server.count_buffered_bytes(self, size - self.buffered_bytes)
-        self.buffered_bytes = size
+    def _count_buffered_bytes(self) -> None:
+        self._server.budget.update(self, self._parser.size)
+
+    @property
+    def removable_bytes(self) -> int:
+        """Size of what has been received of the next request."""
+        return self._parser.size
+
+    def give_way(self) -> None:
+        """Drop what has been received of the next request, to free memory.
+
+        A request that is being processed is answered first; the connection ends then, so that the client
+        knows that what it sent behind that request has not been read. If there is none, the next is refused.
+        """
+        self._parser.discard()
+        self._discards = True
+        if self.exchange is not None:
+            self.closing = True
+        elif not self._ended and not self._stream.closed():
+            self._end_with(503, "no room for a request that is slow to come", self._server.retry_headers)
+        self._count_buffered_bytes()
 
     async def _serve(self, message: Message) -> bool:
         """Process and answer a request; returns whether the connection may carry another."""
@@ -278,11 +298,7 @@
     def end_if_idle(self) -> None:
         """Close the connection gracefully if it is idle and has no unread bytes."""
         if self.quiet and not self._ended:
-            self._ended = True
-            self.since = self._server.clock.now()
-            self.enter(State.LINGERING)  # bounds a client that keeps its half of the connection open
-            with suppress(OSError):
-                self._stream.socket.shutdown(socket.SHUT_WR)
+            self._shut_down()  # the new state's timeout bounds a client that keeps its half open
 
     def reject(self, status: int, reason: str, headers: dict[str, str] | None = None) -> None:
         """Close the connection at once, with an answer if part of a request has been received."""
@@ -290,7 +306,8 @@
             return
         with suppress(OSError):  # a close with unread bytes sends a reset, which can discard the answer
             self._stream.socket.recv(self._server.limits.read, socket.MSG_DONTWAIT)
-        self._send_error(status, reason, headers)
+        if self.state is State.RECEIVING:
+            self._send_error(status, reason, headers)
         self._stream.close()
 
     def time_out(self) -> None:
@@ -306,16 +323,25 @@
         if self.state is State.LINGERING or self._stream.writing():
             self._stream.close()
             return
-        self._send_error(408, "the request did not come whole in time")
+        if self.state is State.RECEIVING:
+            self._end_with(408, "the request did not come whole in time")
+        else:
+            self._shut_down()
+
+    def _end_with(self, status: int, reason: str, headers: dict[str, str] | None = None) -> None:
+        """Answer what has been received of a request, and close once the client has read the answer."""
+        self._send_error(status, reason, headers)
+        self._shut_down()
+
+    def _shut_down(self) -> None:
         self.since, self._ended = self._server.clock.now(), True
         self.enter(State.LINGERING)
         with suppress(OSError):
             self._stream.socket.shutdown(socket.SHUT_WR)
 
     def _send_error(self, status: int, reason: str, headers: dict[str, str] | None = None) -> None:
-        if self.state is State.RECEIVING:
-            with suppress(StreamClosedError):
-                self._stream.write(response(status, f"{reason}\n".encode(), keep=False, headers=headers))
+        with suppress(StreamClosedError):
+            self._stream.write(response(status, f"{reason}\n".encode(), keep=False, headers=headers))
 
 
 @dataclass(slots=True, frozen=True)
@@ -343,8 +369,8 @@
         self.connections: set[Connection] = set()
         self._states: dict[State, dict[Connection, None]] = {state: {} for state in State}  # oldest first
         self._refused = 0  # refused connections whose answer is still being written
-        self._buffered_bytes = 0  # of incomplete requests, over all connections
-        self._retry = {"Retry-After": f"{limits.busy_retry.total_seconds():.3f}"}
+        self.budget = ByteBudget(limits.buffered)  # of what is received of requests that wait to be processed
+        self.retry_headers = {"Retry-After": f"{limits.busy_retry.total_seconds():.3f}"}
         self.close_after_answer = close_after_answer
         self.connections_elsewhere = 0  # clients' connections in another process of this scheduler
         self._sweeper = PeriodicCallback(self.sweep, limits.sweep)
@@ -420,18 +446,6 @@
         if connection.state is not None:
             self._states[connection.state].pop(connection, None)
 
-    def count_buffered_bytes(self, connection: Connection, change: int) -> None:
-        """Add to the bytes buffered for incomplete requests; over the limit, reject the largest request.
-
-        Bounds the memory taken by many clients that each send all but the end of a large request.
-        """
-        self._buffered_bytes += change
-        if change > 0 and self._buffered_bytes > self.limits.buffered:
-            others = [c for c in self._states[State.RECEIVING] if c is not connection]
-            victim = max(others, key=lambda c: c.buffered_bytes, default=connection)
-            log.warning("buffers_full", held=self._buffered_bytes)
-            victim.reject(503, "no room for a request that is slow to come", self._retry)
-
     def _refuse(self, stream: IOStream) -> None:
         """Refuse a connection with 503.
 
@@ -447,13 +461,13 @@
             # the answer.
             with suppress(BlockingIOError):
                 stream.socket.recv(self.limits.read, socket.MSG_DONTWAIT)
-            stream.write(response(503, keep=False, headers=self._retry))
+            stream.write(response(503, keep=False, headers=self.retry_headers))
         stream.close()
 
     async def _send_refusal(self, stream: IOStream) -> None:
         try:
             with suppress(StreamClosedError, OSError):
-                await stream.write(response(503, keep=False, headers=self._retry))
+                await stream.write(response(503, keep=False, headers=self.retry_headers))
                 await close_gently(stream, self.limits)
         finally:
             self._refused -= 1
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -167,11 +167,11 @@
         ends = [await asyncio.open_connection("127.0.0.1", port) for _ in range(3)]
         for (_, writer), size in zip(ends, (30_000, 1_000, 25_000), strict=True):
             writer.write(head + b"a" * size)
-            await until(lambda size=size: any(c.buffered_bytes >= size for c in server.connections))
+            await until(lambda size=size: any(c.removable_bytes >= size for c in server.connections))
         assert (await ends[0][0].read()).startswith(b"HTTP/1.1 503")  # the largest except the newest
         assert await get_ok(port)
         assert sorted(
-            c.buffered_bytes > 2_000 for c in server.connections if c.buffered_bytes) == [False, True]
+            c.removable_bytes > 2_000 for c in server.connections if c.removable_bytes) == [False, True]
         for _, writer in ends:
             writer.close()
         await server.finish()
@@ -179,6 +179,52 @@
     run(case())
 
 
+@pytest.mark.parametrize("size", [20_000, 45_000])
+def test_usual_requests_are_answered_beside_clients_that_send_many_at_once(size: int) -> None:
+    # Guards against: what waits behind requests in progress filled the buffers, and a usual client, which had
+    # just been read, was closed without an answer in place of those.
+    async def case() -> None:
+        server = HttpServer(Limits(buffered=100_000), Clock(), lambda exchange: (
+            exchange.respond(200) if exchange.message.start_line[1] == "/usual" else None))
+        server.listen(port := free_port(), "127.0.0.1")
+        bad_clients = [await asyncio.open_connection("127.0.0.1", port) for _ in range(5)]
+        for _, writer in bad_clients:
+            writer.write(request("POST", "/bad", "b", {}, b"x" * 300) * 100)
+        await until(lambda: server.budget.total > 60_000)
+        for _ in range(10):
+            usual = await exchange_raw(
+                port, request("POST", "/usual", "b", {"Connection": "close"}, b"y" * size))
+            assert usual.startswith(b"HTTP/1.1 200")
+        assert server.budget.total <= 100_000
+        assert sum(c.exchange is not None for c in server.connections) == 5, "one in progress was given up"
+        for c in list(server.connections):
+            c.exchange and c.exchange.respond(200)
+        for reader, writer in bad_clients:
+            first, headers, _ = await http_message(reader)
+            assert first.split()[1] == "200"
+            writer.close()
+        await server.finish()
+
+    run(case())
+
+
+def test_a_request_for_which_there_is_no_room_gets_an_answer() -> None:
+    # Guards against: a connection whose first bytes had just been read was closed without one.
+    async def case() -> None:
+        server, port = serving(Limits(buffered=50_000))
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(request("POST", "/a", "b", {}, b"x" * 60_000))
+        first, headers, _ = await http_message(reader)
+        assert first.split()[1] == "503" and float(headers["retry-after"]) > 0
+        assert await asyncio.wait_for(reader.read(), 1) == b""
+        writer.close()
+        await until(lambda: not server.connections)
+        assert server.budget.total == 0
+        await server.finish()
+
+    run(case())
+
+
 def test_connections_are_closed_for_new_ones_in_order_of_state() -> None:
     async def case() -> None:
         # The slow connection must be closed to make room, not by a timeout after the newest was refused.
@@ -350,7 +396,7 @@
 
         flooding = asyncio.ensure_future(asyncio.to_thread(flood))
         await until(lambda: gone)
-        assert max(c.buffered_bytes for c in server.connections) < limits.head + limits.body + limits.read
+        assert max(c.removable_bytes for c in server.connections) < limits.head + limits.body + limits.read
         await asyncio.wait_for(flooding, 5)  # the flood ends within the linger time
         assert most[0] < 50_000_000
         await until(lambda: not server.connections)
