Tests: connections left open are closed while their event loop runs

The collector closed connections that tests had left open after their event loop had ended, each with an error out of StreamWriter.__del__. Where that happened inside ast.parse, Python 3.11.6 failed tests/test_http.py, or pytest itself.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -24,9 +24,18 @@
 
 
 def run(work: Coroutine[Any, Any, T]) -> T:
-    """Run a test's coroutine; raises TimeoutError if it takes more than 30 s."""
+    """Run a test's coroutine; raises TimeoutError if it takes more than 30 s.
+
+    Connections that the test leaves open are closed while their event loop runs. Otherwise the garbage
+    collector would close them later, in the middle of another test or of pytest itself, and fail there.
+    """
     async def bounded() -> T:
-        return await asyncio.wait_for(work, 30)
+        try:
+            return await asyncio.wait_for(work, 30)
+        finally:
+            loop: Any = asyncio.get_running_loop()  # asyncio's selector event loop
+            for transport in list(loop._transports.values()):
+                transport.close()
 
     return asyncio.run(bounded())
 
--- a/tests/test_passing.py
+++ b/tests/test_passing.py
@@ -49,16 +49,13 @@
 
 
 class Client:
-    """A client with one connection of its own, which ``site_test`` closes at the end of the test."""
-
-    _connected = list["Client"]()
+    """A client with one connection of its own."""
 
     def __init__(self, port: int) -> None:
         self.port = port
 
     async def connect(self) -> "Client":
         self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.port)
-        self._connected.append(self)
         return self
 
     async def post(self, identity: str, body: bytes, more: bytes = b"") -> "Client":
@@ -66,15 +63,6 @@
         self.writer.write(request(identity, body) + more)
         return self
 
-    @classmethod
-    async def close_all(cls) -> None:
-        """Close the connections, so that none is left for the garbage collector after its event loop."""
-        while cls._connected:
-            writer = cls._connected.pop().writer
-            writer.close()
-            with suppress(ConnectionError):
-                await writer.wait_closed()
-
     async def answer(self, *, ending: bool = False) -> tuple[int, bytes]:
         """Read an answer; return its status and body. Only an ``ending`` process may close the connection."""
         first, headers, body = await asyncio.wait_for(http_message(self.reader), 8)
@@ -180,10 +168,7 @@
     def test(tmp_path: Path) -> None:
         async def run_case() -> None:
             async with Site(tmp_path).running() as site:
-                try:
-                    await case(site)
-                finally:
-                    await Client.close_all()
+                await case(site)
 
         run(run_case())
 
