A file in which a class lacks a key that it had is turned down

Cause: of the classes only the keys that all of them have were compared with the file in force; a single_shot class beside it needs no group. Operators' files were not compared at all.

Of an operator's file the settings are compared.

--- a/hazellead/__main__.py
+++ b/hazellead/__main__.py
@@ -220,8 +220,9 @@
         # All checks come first, so that a rejected configuration changes nothing.
         if configuration.discovery is None and self.watch:
             raise config.ConfigError("discovery is missing")
-        if operator_config is None:
-            config.require_all_keys(self.configuration, configuration)
+        # In an operator's file whole sections may be added and removed.
+        config.require_all_keys(
+            self.configuration, configuration, settings_only=operator_config is not None)
         needs_restart, generation = config.changes_needing_restart(self.configuration, configuration), None
         if (configuration.settings, configuration.names) != (
                 self.configuration.settings, self.configuration.names):
--- a/hazellead/platform/config.py
+++ b/hazellead/platform/config.py
@@ -4,7 +4,7 @@
 import math
 import os
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from pathlib import Path
 from typing import Any
@@ -12,6 +12,7 @@
 from hazellead.core.clock import from_us, to_us
 from hazellead.decide.interface import Settings
 from hazellead.limits import Limits
+from hazellead.platform.completeness import missing_keys
 from hazellead.sim import wire
 
 
@@ -78,7 +79,7 @@
     names: Names
     limits: Limits
     console: tuple[str, int] | None = None
-    key_paths: frozenset[str] = frozenset()  # of all keys in the file
+    content: Mapping[str, Any] = field(default_factory=dict)  # of the file, but the list in ``known``
     known_elsewhere: bool = False  # the known list comes from another discovery
     handover: str | None = None  # path of the hand-over socket for a replacing process; None: no hand-over
 
@@ -90,23 +91,14 @@
     return changed + ["limits"] * (limits != current.limits)
 
 
-def key_paths(value: Any, path: str = "") -> frozenset[str]:
-    """Return the paths of all keys; for a list of objects, only of the keys that all of them have.
+def require_all_keys(current: Config, new: Config, *, settings_only: bool) -> None:
+    """Raise ConfigError if a key of the current file is missing in the new one, which may be incomplete.
 
-    The keys inside the top-level ``known`` are left out.
+    With ``settings_only`` the keys outside the settings may be left out.
     """
-    if isinstance(value, dict):
-        below = [key_paths(v, f"{path}.{k}" if path else k) for k, v in value.items() if path or k != "known"]
-        return frozenset(f"{path}.{k}" if path else k for k in value).union(*below)
-    if isinstance(value, list) and value and all(isinstance(v, dict) for v in value):
-        return frozenset.intersection(*(key_paths(v, f"{path}[]") for v in value))
-    return frozenset()
-
-
-def require_all_keys(current: Config, new: Config) -> None:
-    """Raise ConfigError if a key of the current file is missing in the new one, which may be incomplete."""
-    if missing := sorted(current.key_paths - new.key_paths):
-        raise ConfigError(f"{missing[0]} is missing")
+    parts = ("settings",) if settings_only else tuple(current.content)
+    for key in missing_keys({part: current.content[part] for part in parts}, new.content):
+        raise ConfigError(f"{key} is missing")
 
 
 def address(text: Any, key: str) -> tuple[str, int]:
@@ -224,7 +216,7 @@
         seed=seed, known=known, settings=settings, names=names,
         limits=fit,
         console=address(console, "console") if console else None,
-        key_paths=key_paths(content),
+        content=content | {"known": None} if "known" in content else content,
     )
 
 
