Background Gearman jobs are acknowledged once they are accepted

Cause: JOB_CREATED was sent before the scheduler had decided, and a refusal goes to the clients that wait, of which a background job has none.

The dispatcher decides on a background job at once, and a refused one is answered ERROR with the time to come back. An acknowledged one that is refused later is submitted again; if it does not run after all, its client is told. A key whose job has failed is not acknowledged. Those that wait to be submitted again count towards limits.requests.

--- a/hazellead/core/scheduler.py
+++ b/hazellead/core/scheduler.py
@@ -394,8 +394,7 @@
 
     def adopt_estimates(self, estimates: "SharedEstimates") -> None:
         """Pass estimates of other instances to the dispatcher, once it has handled all queued events."""
-        if self._events:
-            self._step()
+        self.decide()
         self._dispatcher.adopt_estimates(estimates)
 
     @property
@@ -472,6 +471,11 @@
             self._loop.add_timeout(
                 max(timedelta(0), self._last_step + self._tick - self._clock.now()), self._step)
 
+    def decide(self) -> None:
+        """Have the dispatcher handle the queued events now, not at the next tick."""
+        if self._events:
+            self._step()
+
     def _step(self) -> None:
         self._step_due, self._last_step = False, self._clock.now()
         events, self._events = [*self._lease_changes(), *self._events], []
--- a/hazellead/gearman/assembly.py
+++ b/hazellead/gearman/assembly.py
@@ -86,4 +86,5 @@
     async def finish(self) -> None:
         """Stop reading the inventory and close every connection."""
         self.inventory.close()
+        self.submissions.finish()
         await self.server.finish()
--- a/hazellead/gearman/clients.py
+++ b/hazellead/gearman/clients.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from tornado.ioloop import IOLoop
+
 from hazellead.core.jobs import Job
 from hazellead.core.scheduler import Scheduler
 from hazellead.gearman.jobs import GearmanJob, JobTable, Key
@@ -37,6 +39,7 @@
         """Serve ``functions``, by name; jobs are refused while ``takes_jobs`` returns False."""
         self._scheduler, self.table, self.functions = scheduler, table, functions
         self._takes_jobs = takes_jobs
+        self._retries: dict[GearmanJob, object] = {}  # refused background jobs, with their timers
 
     def submit(self, client: "ClientSession", packet: Packet) -> None:
         """Start a job, or, if its unique key is known, join the live job or replay its final packet."""
@@ -51,31 +54,97 @@
         background = packet.type in _BACKGROUND
         key = self._unique_key(name, unique, data)
         gearman_job = self.table.find(key)
-        if gearman_job and len(gearman_job.listeners) >= self._scheduler.limits.requests:
+        if gearman_job:
+            self._join(client, gearman_job, background=background)
+            return
+        gearman_job = self.table.add(function.name, key, background)
+        gearman_job.job = self._job(function, unique.decode("latin-1"), data)
+        if background:
+            self._start_in_background(client, gearman_job)
+        else:
+            self._start(client, gearman_job)
+
+    def _job(self, function: Function, unique: str, data: bytes) -> Job:
+        generation = self._scheduler.generation
+        return Job(
+            uuid.uuid4().hex, f"/{function.class_name}", data, generation.class_ids[function.job_class],
+            generation.tenant_ids[function.tenant], function.deadline, function=function.name,
+            unique=unique, class_name=function.class_name)
+
+    def _join(self, client: "ClientSession", gearman_job: GearmanJob, *, background: bool) -> None:
+        """Have a client wait for a job that is known, or tell it the outcome."""
+        if len(gearman_job.listeners) >= self._scheduler.limits.requests:
             client.error("too_many", "too many wait for this key")
             return
-        is_new = gearman_job is None
-        gearman_job = gearman_job or self.table.add(function.name, key, background)
-        gearman_job.background = gearman_job.background or background
+        if background and gearman_job.failed_for_good:
+            client.error("failed", "the job of this key has failed, and it may have run")
+            return
         client.send(Type.JOB_CREATED, gearman_job.handle)
-        if not background:
-            if gearman_job.ended:
-                gearman_job.replay(client)
-                return
+        if background:
+            if not gearman_job.ended:
+                gearman_job.acknowledge(client, self._retry)
+        elif gearman_job.ended:
+            gearman_job.replay(client)
+            return
+        else:
             gearman_job.join(client)
             client.track(gearman_job)
         self._scheduler.rejoin(gearman_job.number)
-        if not is_new:
+
+    def _start(self, client: "ClientSession", gearman_job: GearmanJob) -> None:
+        """Submit a job for which a client waits."""
+        client.send(Type.JOB_CREATED, gearman_job.handle)
+        gearman_job.join(client)
+        client.track(gearman_job)
+        self._submit(gearman_job)
+
+    def _start_in_background(self, client: "ClientSession", gearman_job: GearmanJob) -> None:
+        """Submit a background job; it is acknowledged only once it has been accepted.
+
+        Its client hears no more of an acknowledged one, and would take a refused job for one that runs.
+        """
+        if len(self.table.live) > self._scheduler.limits.requests:  # those that wait for a retry count, too
+            gearman_job.refused(self._scheduler.limits.busy_retry)
+        else:
+            self._submit(gearman_job)
+            self._scheduler.decide()
+        if gearman_job.ended:
+            client.send(Type.ERROR, b"refused", gearman_job.refusal_text())
             return
-        generation = self._scheduler.generation
-        tenant = generation.tenant_ids[function.tenant]
-        job = Job(uuid.uuid4().hex, f"/{function.class_name}", data, generation.class_ids[function.job_class],
-                  tenant, function.deadline, function=function.name, unique=unique.decode("latin-1"),
-                  class_name=function.class_name)
-        if not self._takes_jobs():
+        client.send(Type.JOB_CREATED, gearman_job.handle)
+        gearman_job.acknowledge(client, self._retry)
+
+    def _submit(self, gearman_job: GearmanJob) -> None:
+        job = gearman_job.job
+        assert job
+        if self._takes_jobs():
+            gearman_job.number = self._scheduler.submit(job, gearman_job)
+        else:
             self._scheduler.refuse(job, gearman_job)
+
+    def _retry(self, gearman_job: GearmanJob, after: timedelta) -> bool:
+        """Submit an acknowledged background job again after a time; return False if none are accepted."""
+        if not self._takes_jobs():
+            return False
+        timer = IOLoop.current().call_later(after / timedelta(seconds=1), self._submit_again, gearman_job)
+        self._retries[gearman_job] = timer
+        return True
+
+    def _submit_again(self, gearman_job: GearmanJob) -> None:
+        del self._retries[gearman_job]
+        job, function = gearman_job.job, self.functions.get(gearman_job.function)
+        if job is None or function is None:  # a reload took the function away
+            gearman_job.dropped()
             return
-        gearman_job.number = self._scheduler.submit(job, gearman_job)
+        gearman_job.job = self._job(function, job.unique, job.body)  # by the settings of now
+        self._submit(gearman_job)
+
+    def finish(self) -> None:
+        """Refuse the background jobs that wait to be submitted again; their clients are told."""
+        for gearman_job, timer in self._retries.items():
+            IOLoop.current().remove_timeout(timer)
+            gearman_job.dropped()
+        self._retries.clear()
 
     def client_left(self, client: "ClientSession", gearman_jobs: set[GearmanJob]) -> None:
         """Give up the jobs that only this client waited for.
--- a/hazellead/gearman/jobs.py
+++ b/hazellead/gearman/jobs.py
@@ -11,8 +11,10 @@
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 from typing import Protocol
+from weakref import WeakSet
 
 from hazellead.core.clock import Clock
+from hazellead.core.jobs import Job
 from hazellead.gearman.packets import Type
 from hazellead.limits import Limits
 
@@ -33,7 +35,8 @@
 class GearmanJob:
     """A job with its Gearman clients; as the scheduler's ``ClientReply`` it sends them its progress and end.
 
-    Several clients wait for one job if they submitted the same unique key.
+    Several clients wait for one job if they submitted the same unique key. Nobody waits for a background job;
+    one that has been acknowledged is submitted again if it is refused, since its client relies on its run.
     """
 
     def __init__(
@@ -44,7 +47,12 @@
         self.handle, self.function, self.key = handle, function, key
         self.background, self._on_end = background, on_end
         self.number = 0  # the scheduler's request number; 0 until it has accepted the job
+        self.job: Job | None = None  # what to submit again; None once it has ended
         self.listeners: list[JobListener] = []
+        self._submitters = WeakSet[JobListener]()  # of a background job: told only if it does not run
+        # Submits an acknowledged background job again after a time; returns whether it will.
+        self.retry: Callable[[GearmanJob, timedelta], bool] | None = None
+        self.retry_after: timedelta | None = None  # of the last refusal
         self.running, self.done_parts = False, 0  # of PROGRESS_PARTS
         # The type and the result of the last packet; None before the end and after a refusal.
         self.final_packet: tuple[Type, bytes | None] | None = None
@@ -56,11 +64,21 @@
         if self.running:
             listener.send(Type.WORK_STATUS, self.handle, *self.status())
 
+    def acknowledge(self, submitter: JobListener, retry: "Callable[[GearmanJob, timedelta], bool]") -> None:
+        """Promise a client to run the job in the background: from now on a refusal does not end it."""
+        self.background, self.retry = True, retry
+        self._submitters.add(submitter)
+
     def leave(self, listener: JobListener) -> bool:
         """Remove a client; return whether the job is unfinished, in the foreground and without clients."""
         self.listeners = [other for other in self.listeners if other is not listener]
         return not self.listeners and not self.background and not self.ended
 
+    @property
+    def failed_for_good(self) -> bool:
+        """Whether it has ended without a result after it may have run, so that it must not run again."""
+        return self.final_packet is not None and self.final_packet[0] is Type.WORK_FAIL
+
     def status(self) -> tuple[bytes, bytes]:
         """Return the numerator and denominator of the part done, as a WORK_STATUS packet has them."""
         return b"%d" % self.done_parts, b"%d" % PROGRESS_PARTS
@@ -70,17 +88,42 @@
         self._end((Type.WORK_COMPLETE, result))
 
     def refused(self, retry_after: timedelta) -> None:
-        """Send the time after which to retry, as an exception or a warning, then WORK_FAIL."""
-        text = b"refused: retry after %.3f s" % max(retry_after.total_seconds(), 0.001)
-        for listener in self.listeners:
-            listener.send(
-                Type.WORK_EXCEPTION if listener.wants_exceptions else Type.WORK_WARNING, self.handle, text)
+        """Send the time after which to retry, as an exception or a warning, then WORK_FAIL.
+
+        An acknowledged background job goes on without those that waited for it.
+        """
+        self.retry_after = retry_after
+        self._send_refusal(self.listeners)
+        if self.retry and self.retry(self, retry_after):
+            for listener in self.listeners:
+                listener.send(Type.WORK_FAIL, self.handle)
+            self.listeners = []
+        else:
+            self.dropped()
+
+    def dropped(self) -> None:
+        """End the job as refused; the clients to which it was acknowledged are told, too."""
+        submitters = list(self._submitters)
+        self._send_refusal(submitters)
+        self.listeners += submitters
         self._end(None)
 
     def failed(self, reason: str) -> None:
         """Send WORK_FAIL; Gearman has no field for the reason."""
+        if not self.running:
+            self.listeners += list(self._submitters)
         self._end((Type.WORK_FAIL, None))
 
+    def refusal_text(self) -> bytes:
+        """Return what clients are told of a refusal, with the time after which to retry."""
+        seconds = self.retry_after.total_seconds() if self.retry_after else 0
+        return b"refused: retry after %.3f s" % max(seconds, 0.001)
+
+    def _send_refusal(self, listeners: list[JobListener]) -> None:
+        for listener in listeners:
+            number = Type.WORK_EXCEPTION if listener.wants_exceptions else Type.WORK_WARNING
+            listener.send(number, self.handle, self.refusal_text())
+
     def began(self) -> None:
         """Send the first WORK_STATUS; later calls do nothing."""
         if not self.running:
@@ -114,7 +157,7 @@
         self.final_packet, self.ended = final_packet, True
         for listener in self.listeners:
             self.replay(listener)
-        self.listeners = []
+        self.listeners, self.job = [], None
         self._on_end(self)
 
 
