Connections that send at full speed take turns, and what they hold is bounded

Cause: reads and writes that can be done at once do not suspend a task, so that one connection kept the event loop; single steps took long (chunks, empty lines, a list per new name); the Gearman front had no bound over all connections, and open jobs were bounded in number, not in bytes.

A connection with more to process waits in a TurnQueue, which lets one go on in each iteration of the loop. All that has come is read before a job starts, and a job is refused if there is more than is buffered. ByteBudget counts what Gearman peers send and do not read, Limits.job_bytes the bodies of open jobs.

--- a/hazellead/core/scheduler.py
+++ b/hazellead/core/scheduler.py
@@ -58,6 +58,7 @@
         self.settings = self.generation.settings
         self._dispatcher = Dispatcher(self.settings, seed)
         self._requests: dict[int, _Request] = {}
+        self._body_bytes = 0  # of the bodies of open requests
         self._identities: set[str] = set()
         self.on_accepted: Callable[[str], None] = lambda identity: None  # called with the id of each new job
         self._identities_elsewhere: set[str] = set()  # of requests open in another process of this scheduler
@@ -166,7 +167,7 @@
         if job.identity in self._identities:
             # Guards against running a job twice: the job with this id may be running at this moment.
             reply.failed("this id is being worked on")
-        elif self.free_capacity <= 0:
+        elif self.free_capacity <= 0 or self._body_bytes + len(job.body) > self.limits.job_bytes:
             self._refuse(job, reply, self.limits.busy_retry, "too many open jobs")
         elif self._would_outlast_shutdown(job):
             self._refuse(job, reply, self.limits.busy_retry, "the scheduler ends")
@@ -183,6 +184,7 @@
         request.timer = self._loop.add_timeout(left, self._expire, request)
         self._cap_deadline(request)
         self._requests[request.number] = request
+        self._body_bytes += len(job.body)
         self._identities.add(job.identity)
         prior_attempts = tuple(api.PriorAttempt(
             a.worker, to_us(a.sent - EPOCH), to_us(a.began_at - EPOCH) if a.began_at else 0, a.outcome,
@@ -606,10 +608,9 @@
         """Remove a request once it is answered or abandoned and has no open attempt."""
         if request.reply is None and all(a.outcome for a in request.attempts):
             if self._requests.pop(request.number, None):
+                self._body_bytes -= len(request.job.body)
                 self._identities.discard(request.job.identity)
-                self._ended_ids[request.job.identity] = None
-                if len(self._ended_ids) > self.limits.ended_ids:
-                    self._ended_ids.popitem(last=False)
+                self.remember([request.job.identity])
                 self._loop.remove_timeout(request.timer)
             if self._on_empty and not self._requests:
                 self._on_empty()
--- a/hazellead/gearman/clients.py
+++ b/hazellead/gearman/clients.py
@@ -5,16 +5,18 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
+from enum import Enum
 
 from tornado.ioloop import IOLoop
 
 from hazellead.core.jobs import Job
 from hazellead.core.scheduler import Scheduler
-from hazellead.gearman.jobs import GearmanJob, JobTable, Key
+from hazellead.gearman.jobs import GearmanJob, JobTable, Key, refusal_text
 from hazellead.gearman.packets import Packet, Type
 
 _BACKGROUND = {Type.SUBMIT_JOB_BG, Type.SUBMIT_JOB_HIGH_BG, Type.SUBMIT_JOB_LOW_BG}
 _SUBMIT = _BACKGROUND | {Type.SUBMIT_JOB, Type.SUBMIT_JOB_HIGH, Type.SUBMIT_JOB_LOW}
+_SECOND = timedelta(seconds=1)
 TYPES = _SUBMIT | {Type.ECHO_REQ, Type.OPTION_REQ, Type.GET_STATUS, Type.GET_STATUS_UNIQUE}
 
 
@@ -43,6 +45,12 @@
 
     def submit(self, client: "ClientSession", packet: Packet) -> None:
         """Start a job, or, if its unique key is known, join the live job or replay its final packet."""
+        background = packet.type in _BACKGROUND
+        if client.state is ClientState.LEFT and not background:  # nobody waits for it
+            return
+        if client.state is ClientState.AHEAD:
+            client.error("refused", refusal_text(self._scheduler.limits.busy_retry))
+            return
         name, unique, data = packet.args
         function = self.functions.get(name.decode("latin-1"))
         if function is None:
@@ -51,7 +59,6 @@
         if len(data) > self._scheduler.limits.body or len(unique) > self._scheduler.limits.name:
             client.error("too_large", "workload or unique key is too large")
             return
-        background = packet.type in _BACKGROUND
         key = self._unique_key(name, unique, data)
         gearman_job = self.table.find(key)
         if gearman_job:
@@ -109,7 +116,7 @@
             self._submit(gearman_job)
             self._scheduler.decide()
         if gearman_job.ended:
-            client.send(Type.ERROR, b"refused", gearman_job.refusal_text())
+            client.error("refused", gearman_job.refusal_text())
             return
         client.send(Type.JOB_CREATED, gearman_job.handle)
         gearman_job.acknowledge(client, self._retry)
@@ -126,7 +133,7 @@
         """Submit an acknowledged background job again after a time; return False if none are accepted."""
         if not self._takes_jobs():
             return False
-        timer = IOLoop.current().call_later(after / timedelta(seconds=1), self._submit_again, gearman_job)
+        timer = IOLoop.current().call_later(after / _SECOND, self._submit_again, gearman_job)
         self._retries[gearman_job] = timer
         return True
 
@@ -171,6 +178,14 @@
     """Take the place of a closed connection: what is written to it is lost."""
 
 
+class ClientState(Enum):
+    """What is known of a client while what it has sent is processed."""
+
+    WAITING = 0  # all that it has sent has been read, and its connection is open
+    AHEAD = 1  # it has sent more than is buffered, so that it may have left: no job is accepted
+    LEFT = 2  # it has closed its connection: background jobs alone are accepted
+
+
 class ClientSession:
     """The state of one client connection: its option and the jobs that it waits for."""
 
@@ -178,6 +193,7 @@
         """Start without the option "exceptions" and without jobs; ``send`` writes a packet."""
         self._submissions, self._send = submissions, send
         self.wants_exceptions = False
+        self.state = ClientState.WAITING
         self._awaited_jobs: set[GearmanJob] = set()
 
     def send(self, number: Type, *args: bytes) -> None:
--- a/hazellead/gearman/inventory.py
+++ b/hazellead/gearman/inventory.py
@@ -233,11 +233,12 @@
         """Record that a Gearman worker has connected, or that its last connection has closed."""
         if connected:
             self._connected[name] = self._clock.now()
-            if not self.has_gearman_worker(name):
-                log.warning("gearman_worker_unknown", worker=name)
         else:
             self._connected.pop(name, None)
-        self._publish()
+        if self.has_gearman_worker(name):
+            self._publish()
+        elif connected:
+            log.warning("gearman_worker_unknown", worker=name)
 
     def poll(self) -> None:
         """Read the file again once it has changed and then stayed the same for a whole poll interval.
--- a/hazellead/gearman/jobs.py
+++ b/hazellead/gearman/jobs.py
@@ -23,6 +23,11 @@
 Key = tuple[bytes, bytes]  # function name and unique key
 
 
+def refusal_text(retry_after: timedelta) -> str:
+    """Return what clients are told of a refusal, with the time after which to retry."""
+    return f"refused: retry after {max(retry_after.total_seconds(), 0.001):.3f} s"
+
+
 class JobListener(Protocol):
     """A client connection that is sent a job's packets."""
 
@@ -52,7 +57,7 @@
         self._submitters = WeakSet[JobListener]()  # of a background job: told only if it does not run
         # Submits an acknowledged background job again after a time; returns whether it will.
         self.retry: Callable[[GearmanJob, timedelta], bool] | None = None
-        self.retry_after: timedelta | None = None  # of the last refusal
+        self.retry_after = timedelta(0)  # of the last refusal
         self.running, self.done_parts = False, 0  # of PROGRESS_PARTS
         # The type and the result of the last packet; None before the end and after a refusal.
         self.final_packet: tuple[Type, bytes | None] | None = None
@@ -114,15 +119,14 @@
             self.listeners += list(self._submitters)
         self._end((Type.WORK_FAIL, None))
 
-    def refusal_text(self) -> bytes:
-        """Return what clients are told of a refusal, with the time after which to retry."""
-        seconds = self.retry_after.total_seconds() if self.retry_after else 0
-        return b"refused: retry after %.3f s" % max(seconds, 0.001)
+    def refusal_text(self) -> str:
+        """Return what clients are told of the last refusal."""
+        return refusal_text(self.retry_after)
 
     def _send_refusal(self, listeners: list[JobListener]) -> None:
         for listener in listeners:
             number = Type.WORK_EXCEPTION if listener.wants_exceptions else Type.WORK_WARNING
-            listener.send(number, self.handle, self.refusal_text())
+            listener.send(number, self.handle, self.refusal_text().encode())
 
     def began(self) -> None:
         """Send the first WORK_STATUS; later calls do nothing."""
--- a/hazellead/gearman/packets.py
+++ b/hazellead/gearman/packets.py
@@ -94,6 +94,16 @@
         self._max_packet, self._max_line = limits.body + limits.head, limits.admin_line
         self._buffer = bytearray()
 
+    @property
+    def size(self) -> int:
+        """Number of buffered bytes."""
+        return len(self._buffer)
+
+    @property
+    def full(self) -> bool:
+        """Whether so much is buffered that nothing should be fed until an item has been taken."""
+        return len(self._buffer) > self._max_packet
+
     @property
     def empty(self) -> bool:
         """Whether no byte of an incomplete packet or line is buffered."""
@@ -103,6 +113,10 @@
         """Add bytes read from the connection."""
         self._buffer += data
 
+    def discard(self) -> None:
+        """Drop what is buffered."""
+        self._buffer = bytearray()
+
     def next(self) -> Packet | str | None:
         """Return the next packet or admin line, or None if it is incomplete; raises PacketError."""
         if not self._buffer:
--- a/hazellead/gearman/server.py
+++ b/hazellead/gearman/server.py
@@ -10,15 +10,18 @@
 
 from hazellead.core.clock import Clock
 from hazellead.gearman import clients, workers
-from hazellead.gearman.clients import ClientSession, Submissions
+from hazellead.gearman.clients import ClientSession, ClientState, Submissions
 from hazellead.gearman.packets import Packet, PacketError, Parser, Type, encode_packet
 from hazellead.gearman.workers import GearmanWorkers, WorkerSession
 from hazellead.limits import Limits
 from hazellead.net.accept import Listener
+from hazellead.net.budget import ByteBudget
 from hazellead.net.streams import alive, close_gently, release_failure, within
+from hazellead.net.turns import TurnQueue
 
 log = structlog.get_logger()
 
+WRITE_OVERHEAD = 512  # bytes that a queued write takes in memory beside its data
 VERSION = "1.1.0"  # reported by the admin command "version"
 
 
@@ -32,6 +35,8 @@
         self.waiting_since = server.clock.now()  # when it was accepted, or the incomplete packet began
         self.received_packet = False  # a whole packet or admin line has arrived
         self._pending_read: asyncio.Future[bytes] | None = None
+        self._handled_at_once = 0  # packets and lines since the last wait
+        self._unsent_bytes = 0  # of packets that the peer has not made room for, with their overhead
         self.client = ClientSession(server.submissions, self.send)
         self.worker = WorkerSession(self, server.workers)
 
@@ -41,7 +46,7 @@
 
     def _write(self, data: bytes) -> bool:
         try:
-            self._stream.write(data)
+            written = self._stream.write(data)
         except StreamClosedError:
             return False
         except StreamBufferFullError:
@@ -49,38 +54,44 @@
             log.warning("gearman_peer_not_reading", peer=self.peer)
             self._stream.close()
             return False
+        if not written.done():
+            self._hold_until_sent(written, len(data) + WRITE_OVERHEAD)
         return True
 
+    def _hold_until_sent(self, written: asyncio.Future[None], size: int) -> None:
+        def sent(_: asyncio.Future[None]) -> None:
+            self._unsent_bytes = max(0, self._unsent_bytes - size)
+            self._count_held_bytes()
+
+        self._unsent_bytes += size
+        written.add_done_callback(sent)
+        self._count_held_bytes()
+        if self._unsent_bytes > self._server.limits.write_buffer:
+            log.warning("gearman_peer_not_reading", peer=self.peer)
+            self._stream.close()
+
     async def run(self) -> None:
         """Process packets and admin lines until either side closes the connection."""
         try:
             while True:
-                while (item := self._parser.next()) is not None:
-                    self.received_packet = True
-                    if isinstance(item, str):
-                        self._handle_admin_line(item)
-                    else:
-                        self._handle_packet(item)
-                pending_read = self._pending_read = asyncio.ensure_future(
-                    self._stream.read_bytes(self._server.limits.read, partial=True))
-                # Without this time limit a peer could stay silent or send one packet byte by byte for ever.
-                # Once it has sent a whole packet, it may be idle between packets without a limit.
-                if self.received_packet and self._parser.empty:
-                    self._parser.feed(await pending_read)
-                    self.waiting_since = self._server.clock.now()
+                self._read_ahead()
+                if (item := self._parser.next()) is not None:
+                    await self._handle(item)
+                elif self.client.state is ClientState.LEFT:
+                    break
                 else:
-                    remaining = (
-                        self.waiting_since + self._server.limits.client_read - self._server.clock.now())
-                    self._parser.feed(await within(max(remaining, timedelta(0)), pending_read))
+                    await self._read()
         except PacketError as error:
             log.warning("gearman_packet_refused", peer=self.peer, reason=str(error))
             self.client.error("malformed", str(error))
             self.client.connection_lost()  # now: none of its jobs may start during the slow close
-            await close_gently(self._stream, self._server.limits)
+            await close_gently(self._stream, self._server.limits, self._pending_read)
         except (StreamClosedError, TimeoutError):
             pass
         finally:
             self._stream.close()
+            self._parser.discard()
+            self._count_held_bytes()
             self.client.connection_lost()
             self._server.workers.connection_lost(self.worker)
 
@@ -90,6 +101,83 @@
         self.client.release()
         self.worker.release()
 
+    def _begin_read(self) -> asyncio.Future[bytes]:
+        return asyncio.ensure_future(self._stream.read_bytes(self._server.limits.read, partial=True))
+
+    def _read_ahead(self) -> None:
+        """Read all that has come, as far as it is buffered.
+
+        Work must not start for a client that has disconnected, and the end of its connection is found only
+        behind all that it has sent.
+        """
+        while self.client.state is not ClientState.LEFT:
+            try:
+                reading = self._pending_read = self._pending_read or self._begin_read()
+            except StreamClosedError:  # what was read before is still to be processed
+                self.client.state = ClientState.LEFT
+                return
+            if not reading.done():
+                self.client.state = ClientState.WAITING
+                return
+            if reading.cancelled() or reading.exception():
+                self.client.state = ClientState.LEFT
+            elif self._parser.full:
+                self.client.state = ClientState.AHEAD
+                return
+            else:
+                self._feed(reading.result())
+
+    async def _read(self) -> None:
+        """Wait for more bytes of an incomplete packet or of the next."""
+        self._handled_at_once = 0
+        reading = self._pending_read = self._pending_read or self._begin_read()
+        # Without this time limit a peer could stay silent or send one packet byte by byte for ever.
+        # Once it has sent a whole packet, it may be idle between packets without a limit.
+        if self.received_packet and self._parser.empty:
+            await asyncio.wait([reading])
+            self.waiting_since = self._server.clock.now()
+        else:
+            remaining = self.waiting_since + self._server.limits.client_read - self._server.clock.now()
+            await asyncio.wait([reading], timeout=max(remaining, timedelta(0)) / timedelta(seconds=1))
+            if not reading.done():
+                raise TimeoutError
+
+    def _feed(self, data: bytes) -> None:
+        self._pending_read = None
+        self._parser.feed(data)
+        self._count_held_bytes()
+
+    async def _handle(self, item: Packet | str) -> None:
+        """Process a packet or an admin line; lets other connections have their turn after some."""
+        self.received_packet, self.waiting_since = True, self._server.clock.now()
+        if isinstance(item, str):
+            self._handle_admin_line(item)
+        else:
+            self._handle_packet(item)
+        self._count_held_bytes()
+        self._handled_at_once += 1
+        if self._handled_at_once >= self._server.limits.packets_at_once:
+            self._handled_at_once = 0
+            await self._server.turns.wait(self._stream)
+
+    def _count_held_bytes(self) -> None:
+        self._server.budget.update(self, self.removable_bytes)
+
+    @property
+    def removable_bytes(self) -> int:
+        """Size of what is received and not processed, and of what is written and not sent."""
+        return self._parser.size + self._unsent_bytes
+
+    def give_way(self) -> None:
+        """Close the connection to free memory: of all it holds most."""
+        log.warning("gearman_peer_holds_most", peer=self.peer, received=self._parser.size,
+                    unsent=self._unsent_bytes)
+        self.client.error("no_room", "too much at once")
+        self._stream.close()
+        self._parser.discard()
+        self._unsent_bytes = 0
+        self._count_held_bytes()
+
     async def finish(self) -> None:
         """Close the connection once what was written has been sent, or after ``Limits.linger``."""
         with suppress(StreamClosedError, TimeoutError):
@@ -152,6 +240,8 @@
         """Start without connections; the caller adds the listening sockets."""
         super().__init__(limits)
         self.clock, self.submissions, self.workers = clock, submissions, workers
+        self.budget = ByteBudget(limits.buffered)
+        self.turns = TurnQueue()
         self.connections: dict[GearmanConnection, None] = {}  # in the order of their acceptance
 
     def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
--- a/hazellead/limits.py
+++ b/hazellead/limits.py
@@ -33,15 +33,18 @@
     # Sizes in bytes.
     body: int = 64 * KIB
     buffered: int = 16 * 1024 * KIB  # of partly received requests, over all connections
+    job_bytes: int = 16 * 1024 * KIB  # of the bodies of open jobs
     write_buffer: int = 1024 * KIB  # written to a Gearman connection and not yet sent
     pipelined: int = 1024 * KIB  # read and discarded after a request that is still being processed
     worker_list: int = 1024 * KIB
     head: int = 16 * KIB
-    read: int = 64 * KIB  # from a connection at once; its buffer holds four times as much
+    read: int = 16 * KIB  # from a connection at once; its buffer holds four times as much
+    last_read: int = 64 * KIB  # before a close, since unread bytes would turn it into a reset
     chunk_line: int = 64  # the line with a chunk's size and extensions
     admin_line: int = 1 * KIB
     inventory: int = 1024 * KIB
     headers: int = 64
+    chunks_at_once: int = 256  # of a body that are decoded before other connections have their turn
     name: int = 512  # of a Gearman function, worker or unique key
     # Counts. A connection to the scheduler carries one request at a time.
     client_connections: int = 500
@@ -57,6 +60,7 @@
     ended_ids: int = 4096  # ids of ended requests that are kept to detect their reuse
     returned_jobs: int = 4096  # jobs returned by call-back that are kept to detect repeated call-backs
     group_depth: int = 16  # nesting of an inventory's groups
+    packets_at_once: int = 8  # of a Gearman connection before others have their turn
     abilities: int = 256  # functions that one Gearman worker may register
     # How long before the client's deadline the scheduler stops waiting, so that its answer arrives in time.
     answer_margin: timedelta = timedelta(milliseconds=25)
@@ -134,8 +138,10 @@
         reserved = max(4, min(24, sockets // 16)) if console else 0
         usable = max(16, sockets - 64 - reserved)
         clients = usable * 2 // 3
+        share = max(1, (memory_mb - 24) // 4) * 1024 * KIB
         return Limits(
-            buffered=max(1, (memory_mb - 24) // 4) * 1024 * KIB,
+            buffered=share // 2 if gearman else share,  # each front has a part
+            job_bytes=share,
             console_connections=reserved,
             client_connections=clients // 2 if gearman else clients,
             gearman_connections=clients // 2 if gearman else 0,
--- a/hazellead/net/accept.py
+++ b/hazellead/net/accept.py
@@ -27,7 +27,7 @@
 
     def __init__(self, limits: Limits) -> None:
         """Start with no listening socket."""
-        super().__init__(max_buffer_size=4 * limits.read)
+        super().__init__(max_buffer_size=4 * limits.read, read_chunk_size=limits.read)
         self.limits = limits
         self._last_accept_failed = False
         self._running: set[asyncio.Future[None]] = set()
--- a/hazellead/net/http.py
+++ b/hazellead/net/http.py
@@ -13,6 +13,7 @@
 }
 _TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+\Z")
 _TARGET = re.compile(r"(?:[0-9A-Za-z._~!$&'()*+,;=:@/?-]|%[0-9A-Fa-f]{2})+\Z")  # RFC 3986
+_EMPTY_LINES = re.compile(rb"(?:\r\n)+")
 _REQUEST_BEGINNING = re.compile(rb"(?:\r\n)*(?:\r?\Z|[A-Z]{1,16}(?:\Z| \Z| [/*h]))")
 _FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding", "expect"})
 _HEADER_VALUE = re.compile(r"[\t -~\x80-\xff]*\Z")  # no control characters but the tab
@@ -53,6 +54,7 @@
         self._body_size = 0  # in bytes; -1: chunked encoding, -2: until the connection ends
         self._body = bytearray()  # decoded from chunks
         self._in_trailers = False
+        self.paused = False  # ``next`` has returned None before it had looked at all that is buffered
 
     @property
     def empty(self) -> bool:
@@ -91,7 +93,7 @@
     def discard(self) -> None:
         """Drop what has been buffered of the next message."""
         self._buffer, self._body = bytearray(), bytearray()
-        self._head, self._in_trailers = None, False
+        self._head, self._in_trailers, self.paused = None, False, False
 
     def next(self) -> Message | None:
         """Return the next complete message, or None; raises HttpError if it is malformed or too large."""
@@ -128,17 +130,17 @@
         return Message(start_line, headers, body, keep)
 
     def _take_head(self) -> bool:
-        while self._buffer[:2] == b"\r\n":  # empty lines before a message are skipped
-            del self._buffer[:2]
+        if empty_lines := _EMPTY_LINES.match(self._buffer):  # skipped before a message
+            del self._buffer[:empty_lines.end()]
         end = self._buffer.find(b"\r\n\r\n")
         if (len(self._buffer) if end < 0 else end) > self._limits.head:
             raise HttpError(431, "head too large")
         if end < 0:
             return False
+        if self._buffer.count(b"\r\n", 0, end) > self._limits.headers:  # before a text is made of each
+            raise HttpError(431, "too many headers")
         lines = self._buffer[:end].decode("latin-1").split("\r\n")
         del self._buffer[:end + 4]
-        if len(lines) > self._limits.headers + 1:
-            raise HttpError(431, "too many headers")
         start_line = self._parse_start_line(lines[0])
         headers: dict[str, str] = {}
         for line in lines[1:]:
@@ -188,7 +190,10 @@
         return int(text)
 
     def _take_chunks(self) -> bool:
-        while (end := self._buffer.find(b"\r\n")) >= 0:
+        self.paused = False
+        for _ in range(self._limits.chunks_at_once):
+            if (end := self._buffer.find(b"\r\n")) < 0:
+                break
             if self._in_trailers:  # trailers are skipped
                 del self._buffer[:end + 2]
                 if end == 0:
@@ -210,6 +215,9 @@
                 raise HttpError(400, "malformed chunk")
             self._body += self._buffer[end + 2:end + 2 + length]
             del self._buffer[:end + length + 4]
+        else:
+            self.paused = True
+            return False
         if len(self._buffer) > (self._limits.head if self._in_trailers else self._limits.chunk_line):
             raise HttpError(400, "malformed chunk")
         return False
--- a/hazellead/net/server.py
+++ b/hazellead/net/server.py
@@ -20,6 +20,7 @@
 from hazellead.net.budget import ByteBudget
 from hazellead.net.http import HttpError, Message, Parser, encode_received, response
 from hazellead.net.streams import alive, close_gently, release_failure
+from hazellead.net.turns import TurnQueue
 
 log = structlog.get_logger()
 
@@ -68,6 +69,7 @@
         self.proven = False  # at least one valid request was received
         self.from_worker = False  # the last request was a worker's call-back
         self._waited = timedelta(0)  # of the next request, in the process that passed this connection on
+        self._at_once = 0  # bytes that could be read without waiting, at most, since others had their turn
         self._discards = False  # gave way to others: what is read is dropped
         self._discarded_bytes = 0  # read while the parser's buffer was full or after giving way
         self.closing = self._ended = False  # to be closed after the answer; already shut down or detached
@@ -94,6 +96,10 @@
             while message := await self._message():
                 if not await self._serve(message) or self.closing:
                     break
+                if not self._parser.empty:  # the next request has come already
+                    await self._server.turns.wait(self._stream)
+                    if self._ended:  # meanwhile, for example since another process has the connection now
+                        break
         except HttpError as error:
             await self._write(error.status, f"{error}\n".encode(), {}, keep=False)
         except StreamClosedError:
@@ -126,7 +132,7 @@
             if self._parser.expects_continue and not continued:
                 continued = True
                 await self._stream.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-            await self._read()
+            await self._read_or_go_on()
             if self._ended:
                 # Prevents running a job twice: a client whose request crosses the close sends it again.
                 return None
@@ -136,6 +142,19 @@
             raise HttpError(400, "bytes after the request that begin no other")
         return message
 
+    async def _read_or_go_on(self) -> None:
+        """Read once, unless the parser can go on without it.
+
+        Others have their turn after as many bytes as a request may have, if all had come already.
+        """
+        if not self._parser.paused:
+            self._reading = self._reading or self._begin_read()
+            self._at_once = self._at_once + self._server.limits.read if self._reading.done() else 0
+            await self._read()
+        if self._parser.paused or self._at_once > self._server.limits.head + self._server.limits.body:
+            self._at_once = 0
+            await self._server.turns.wait(self._stream)
+
     async def _read(self) -> None:
         self._reading = self._reading or self._begin_read()
         data = await self._reading
@@ -180,17 +199,33 @@
 
     async def _serve(self, message: Message) -> bool:
         """Process and answer a request; returns whether the connection may carry another."""
-        # Does not start work for a client that disconnected before its request was read: the next read finds
-        # the end of the connection at once.
-        self._reading = self._reading or self._begin_read()
-        if self._reading.done() and self._reading.exception():
-            await self._reading
+        read_all = await self._read_ahead()
+        if self._ended:  # it gave way to others, and the request was refused
+            return False
         self.exchange = exchange = Exchange(message, self._waited)
         self._waited = timedelta(0)
         self.enter(State.PROCESSING)
-        self._server.handler(exchange)
+        if read_all:
+            self._server.handler(exchange)
+        else:
+            self.closing = True
+            exchange.respond(429, b"too much behind a request\n", self._server.retry_headers)
         return await self._finish(exchange)
 
+    async def _read_ahead(self) -> bool:
+        """Read all that has come behind a request; returns False if it is more than is buffered.
+
+        Work must not start for a client that has disconnected, and the end of its connection is found only
+        behind all that it has sent.
+        """
+        while True:
+            self._reading = self._reading or self._begin_read()
+            if not self._reading.done():
+                return True
+            if self._parser.full and not self._reading.exception():
+                return False
+            await self._read()
+
     async def _finish(self, exchange: Exchange) -> bool:
         """Wait for the answer and write it; returns whether the connection may carry another request."""
         # Reading goes on so that a disconnect is noticed.
@@ -305,7 +340,7 @@
         if self._stream.closed():
             return
         with suppress(OSError):  # a close with unread bytes sends a reset, which can discard the answer
-            self._stream.socket.recv(self._server.limits.read, socket.MSG_DONTWAIT)
+            self._stream.socket.recv(self._server.limits.last_read, socket.MSG_DONTWAIT)
         if self.state is State.RECEIVING:
             self._send_error(status, reason, headers)
         self._stream.close()
@@ -371,6 +406,7 @@
         self._refused = 0  # refused connections whose answer is still being written
         self.budget = ByteBudget(limits.buffered)  # of what is received of requests that wait to be processed
         self.retry_headers = {"Retry-After": f"{limits.busy_retry.total_seconds():.3f}"}
+        self.turns = TurnQueue()  # of connections with further requests that have come already
         self.close_after_answer = close_after_answer
         self.connections_elsewhere = 0  # clients' connections in another process of this scheduler
         self._sweeper = PeriodicCallback(self.sweep, limits.sweep)
@@ -400,7 +436,8 @@
 
     def adopt(self, detached: Detached) -> None:
         """Serve a connection detached by another process."""
-        connection = Connection(self, IOStream(detached.sock, max_buffer_size=self.max_buffer_size))
+        connection = Connection(self, IOStream(
+            detached.sock, max_buffer_size=self.max_buffer_size, read_chunk_size=self.read_chunk_size))
         self._begin(connection)
         connection.resume(detached)
 
@@ -460,7 +497,7 @@
             # Reads what has arrived first: a close with unread bytes sends a reset, which can discard
             # the answer.
             with suppress(BlockingIOError):
-                stream.socket.recv(self.limits.read, socket.MSG_DONTWAIT)
+                stream.socket.recv(self.limits.last_read, socket.MSG_DONTWAIT)
             stream.write(response(503, keep=False, headers=self.retry_headers))
         stream.close()
 
