Refused ids are not remembered and push out none that may have run

Callers saw: an id ran twice when it came again after its client had left and thousands of other requests had been refused in between.

Cause: the newest 4,096 ids of ended requests are kept, refused ones included. Only ids of which an attempt may have run, or whose job another process has taken over, are remembered now. A refused id may come again.

tests/test_clients_that_leave.py: the test of the id failed before (posted again). Its checks on late attempts passed on the code before, too: that part of the picture was not seen here in these sizes.

--- a/hazellead/core/scheduler.py
+++ b/hazellead/core/scheduler.py
@@ -244,6 +244,7 @@
                     self._enqueue(api.AttemptEnded(
                         number, attempt.number, attempt.worker, api.Outcome.MOOT, 0, complete=True))
             self._remove_if_done(request)
+            self.remember([request.job.identity])
 
     @property
     def free_capacity(self) -> int:
@@ -610,7 +611,9 @@
             if self._requests.pop(request.number, None):
                 self._body_bytes -= len(request.job.body)
                 self._identities.discard(request.job.identity)
-                self.remember([request.job.identity])
+                # One that cannot have run may come again, and must not push out those that may have.
+                if any(a.outcome not in api.NEVER_RAN for a in request.attempts):
+                    self.remember([request.job.identity])
                 self._loop.remove_timeout(request.timer)
             if self._on_empty and not self._requests:
                 self._on_empty()
