--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -15,7 +15,7 @@
 
 from hazellead.core.clock import Clock
 from hazellead.limits import Limits
-from hazellead.net.http import request
+from hazellead.net.http import Parser, request
 from hazellead.net.server import Connection, Exchange, HttpServer, State
 
 SHORT_TIMES = Limits(body=1000, linger=timedelta(seconds=0.2), slow=timedelta(seconds=0.2))
@@ -225,6 +225,43 @@
     run(case())
 
 
+@pytest.mark.parametrize("rounds", range(12))
+def test_a_connection_that_is_passed_on_while_it_waits_for_its_turn_handles_no_request_of_the_other(
+    rounds: int,
+) -> None:
+    # Guards against: a request that the next process has got with the connection was processed here, too.
+    async def case() -> None:
+        handled = list[bytes]()
+
+        def handle(exchange: Exchange) -> None:
+            handled.append(exchange.message.body)
+            exchange.respond(200)
+
+        server = HttpServer(Limits(), Clock(), handle)
+        server.listen(port := free_port(), "127.0.0.1")
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        sent = [b"%d" % i for i in range(40)]
+        writer.write(b"".join(request("POST", "/a", "b", {}, body) for body in sent))
+        await until(lambda: handled)
+        for _ in range(rounds):
+            await asyncio.sleep(0)
+        (connection,) = server.connections
+        while not (detached := connection.detach()) and len(handled) < len(sent):
+            await asyncio.sleep(0)
+        await asyncio.sleep(0.02)
+        parser, passed = Parser(Limits()), list[bytes]()
+        if detached:
+            parser.feed(detached.read)
+            detached.sock.close()
+        while message := parser.next():
+            passed.append(message.body)
+        assert handled + passed == sent
+        writer.close()
+        await server.finish()
+
+    run(case())
+
+
 def test_connections_are_closed_for_new_ones_in_order_of_state() -> None:
     async def case() -> None:
         # The slow connection must be closed to make room, not by a timeout after the newest was refused.
