A connection that gives way is not asked again for the answer it writes

Trace: give_way wrote an ERROR packet to a peer that does not read; the write was counted, the budget was still over its limit, and the same connection was asked to give way again.

ByteBudget does not enforce its limit while it is doing so, and the Gearman connection drops what it holds first and writes only where nothing waits.

test_connections_that_answer_as_they_give_way_do_so_once_each failed before with the same error.

--- a/hazellead/gearman/server.py
+++ b/hazellead/gearman/server.py
@@ -172,9 +172,10 @@
         """Close the connection to free memory: of all it holds most."""
         log.warning("gearman_peer_holds_most", peer=self.peer, received=self._parser.size,
                     unsent=self._unsent_bytes)
-        self.client.error("no_room", "too much at once")
-        self._stream.close()
         self._parser.discard()
+        if not self._stream.writing():  # else it does not read
+            self.client.error("no_room", "too much at once")
+        self._stream.close()
         self._unsent_bytes = 0
         self._count_held_bytes()
 
--- a/hazellead/net/budget.py
+++ b/hazellead/net/budget.py
@@ -26,6 +26,7 @@
         self._limit = limit
         self._counts: dict[Holder, int] = {}
         self.total = 0
+        self._enforcing = False
 
     def update(self, holder: Holder, size: int) -> None:
         """Set how many bytes a connection holds; it may have to give way itself."""
@@ -33,15 +34,19 @@
         if size:
             self._counts[holder] = size
         self.total += size - before
-        if size > before:
-            self._enforce(holder)
+        if size > before and not self._enforcing:  # giving way may itself hold a little, such as an answer
+            self._enforcing = True
+            try:
+                self._enforce(holder)
+            finally:
+                self._enforcing = False
 
     def _enforce(self, newest: Holder) -> None:
         def weight(holder: Holder) -> int:
             # The one that has just sent counts for half: the others have held theirs for longer.
             return holder.removable_bytes // (2 if holder is newest else 1)
 
-        while self.total > self._limit:
+        while self.total > self._limit and self._counts:
             total = self.total
             victim = max(self._counts, key=weight)
             log.warning("buffers_full", held=total, freed=victim.removable_bytes)
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -12,6 +12,7 @@
 from test_gearman_front import ONE_WORKER, never_finish
 
 from hazellead.gearman.packets import Type, encode_packet
+from hazellead.net.budget import ByteBudget
 
 BUFFERED = 200_000
 LARGE = encode_packet(Type.SUBMIT_JOB, b"post_payment", b"", b"x" * 60_000, response=False)
@@ -25,6 +26,33 @@
     return served
 
 
+class AnsweringHolder:
+    """A connection that answers when it gives way, and holds the answer for as long as it is not sent."""
+
+    def __init__(self, budget: ByteBudget) -> None:
+        self.budget, self.removable_bytes, self.gave_way = budget, 0, 0
+
+    def hold(self, size: int) -> None:
+        self.removable_bytes = size
+        self.budget.update(self, size)
+
+    def give_way(self) -> None:
+        self.gave_way += 1
+        self.hold(self.removable_bytes + 10)
+        self.hold(0)
+
+
+def test_connections_that_answer_as_they_give_way_do_so_once_each() -> None:
+    # Guards against: the answer was counted, and the same connection asked to give way without an end.
+    budget = ByteBudget(1000)
+    holders = [AnsweringHolder(budget) for _ in range(2000)]
+    for holder in holders[1:]:
+        budget._counts[holder] = holder.removable_bytes = 100  # as if all had come at once
+        budget.total += 100
+    holders[0].hold(50)
+    assert budget.total <= 1000 and max(h.gave_way for h in holders) == 1
+
+
 @pytest.mark.parametrize("sent", ["half a job", "unread echoes", "unread lists"])
 def test_peers_that_hold_most_give_way(tmp_path: Path, sent: str) -> None:
     data = {"half a job": LARGE[:-1],
